--- /dev/null
+++ b/deploy/bundle.js
@@ -0,0 +1,18 @@
+/**
+ * Bundles the router for the platform into one file. A process there may hold few files
+ * open, which Node's module loader exceeds on `node_modules`, and start-up time counts.
+ */
+import {build} from 'esbuild';
+
+await build({
+	entryPoints: ['platform/main.ts'],
+	outfile: 'target/router.mjs',
+	bundle: true,
+	minify: true,
+	keepNames: true,
+	platform: 'node',
+	target: 'node20',
+	format: 'esm',
+	// Some packages are CommonJS and load Node's modules with require.
+	banner: {js: 'import {createRequire as createRequireOfBundle} from "node:module"; const require = createRequireOfBundle(import.meta.url);'},
+});
--- a/src/core/attempt/attempt.ts
+++ b/src/core/attempt/attempt.ts
@@ -22,7 +22,7 @@
 const RETRY_AFTER_MS = 1000;
 
 export const initialAttempt: AttemptState = {
-	kind: 'claiming', delivering: false, callerLeft: false, mayHaveRun: false, retries: 0,
+	kind: 'claiming', delivering: false, callerLeft: false, mayHaveRun: false, retries: 0, sends: 0,
 };
 
 type Message<Kind extends AttemptMessage['kind']> = Extract<AttemptMessage, {kind: Kind}>;
@@ -119,17 +119,38 @@
 		return askAgain('grant-expired', [{kind: 'drop-call'}, ...endGrant(state, nowMs, unsent)])(state, spec, nowMs);
 	}
 
-	return {state: {...state, kind: 'sent', sentAtMs: nowMs}, effects: [{kind: 'write'}]};
+	return {state: {...state, kind: 'sent', sentAtMs: nowMs, sends: state.sends + 1}, effects: [{kind: 'write'}]};
 };
 
+const hasTargetLeft = (state: AttemptState, spec: AttemptSpec): boolean => state.sends < (spec.maxTargets ?? Infinity);
+
 const onDeclined = (state: AttemptState, message: Message<'declined'>, spec: AttemptSpec, nowMs: number): AttemptStep => {
 	if (state.kind !== 'sent') {
 		return stay(state);
 	}
 
 	const kind = message.reason === 'fenced' ? 'refused' : 'overloaded';
+	// Only targets that may have run the request count towards the limit.
+	const unsentAgain = {...state, sends: state.sends - 1};
 	const before = endGrant(state, nowMs, {kind, cost: 0, ...(message.instance && {instance: message.instance})});
-	return askAgain(message.reason, before)(state, spec, nowMs);
+	const mayRepeat = state.callerLeft || !spec.budgetsDeclined || spec.takeRetry(nowMs);
+	return mayRepeat
+		? askAgain(message.reason, before)(unsentAgain, spec, nowMs)
+		: refuse(withoutGrant(unsentAgain, 'queued'), new RefusalError(TargetUnavailable, {tries: state.retries + 1}, {retryAfterMs: RETRY_AFTER_MS}), before);
+};
+
+/** A failure that the target answered itself goes to the caller, unless another target may do better. */
+const onErrorAnswer = (state: AttemptState, message: Message<'error-answer'>, spec: AttemptSpec, nowMs: number): AttemptStep => {
+	if (state.kind !== 'sent') {
+		return stay(state);
+	}
+
+	const {instance} = message;
+	const before = endGrant(state, nowMs, {kind: 'failed', cost: 0, ...(instance && {instance})});
+	const mayRepeat = spec.repeat === 'safe' && !state.callerLeft && hasTargetLeft(state, spec) && spec.takeRetry(nowMs);
+	return mayRepeat
+		? askAgain('error-answer', before)({...state, mayHaveRun: true}, spec, nowMs)
+		: end(state, 'answered', [...before, ...(state.callerLeft ? [] : [{kind: 'deliver-error'} as const])]);
 };
 
 const brokenRefusal = (state: AttemptState, spec: AttemptSpec, reason: string): RefusalError => {
@@ -153,7 +174,8 @@
 		return end(state, 'cancelled', before);
 	}
 
-	const mayRepeat = spec.repeat === 'safe' && !state.delivering && spec.takeRetry(nowMs);
+	const mayRepeat = spec.repeat === 'safe' && (!state.delivering || spec.isResumable === true)
+		&& hasTargetLeft(state, spec) && spec.takeRetry(nowMs);
 	return mayRepeat
 		? askAgain('failed', before)({...state, mayHaveRun: true}, spec, nowMs)
 		: refuse(state, brokenRefusal(state, spec, message.reason), before);
@@ -244,6 +266,10 @@
 			return onFailed(state, message, spec, nowMs);
 		}
 
+		case 'error-answer': {
+			return onErrorAnswer(state, message, spec, nowMs);
+		}
+
 		case 'run-timeout': {
 			return onRunTimeout(state, message, spec, nowMs);
 		}
--- a/src/core/attempt/retry-budget.ts
+++ b/src/core/attempt/retry-budget.ts
@@ -11,14 +11,14 @@
 const MIN_RETRIES_PER_S = 1;
 
 export type RetryBudget = {
-	/** Counts one fresh request. */
-	readonly earn: () => void;
+	/** Counts one fresh request to a service. */
+	readonly earn: (nowMs: number, service: string) => void;
 	/** Takes one retry; false when none is left. */
-	readonly take: (nowMs: number) => boolean;
+	readonly take: (nowMs: number, service: string) => boolean;
 };
 
 /** A budget that starts full. */
-export const createRetryBudget = (): RetryBudget => {
+export const createRetryBudget = () => {
 	let saved = MAX_SAVED_RETRIES;
 	let updatedMs: number | undefined;
 	const add = (amount: number) => {
@@ -29,7 +29,7 @@
 		earn() {
 			add(RETRIES_PER_REQUEST);
 		},
-		take(nowMs) {
+		take(nowMs: number): boolean {
 			add((nowMs - (updatedMs ?? nowMs)) * MIN_RETRIES_PER_S / 1000);
 			updatedMs = nowMs;
 			if (saved < 1) {
@@ -39,5 +39,5 @@
 			saved--;
 			return true;
 		},
-	};
+	} satisfies RetryBudget;
 };
--- a/src/core/attempt/types.ts
+++ b/src/core/attempt/types.ts
@@ -16,13 +16,19 @@
 	readonly takeRetry: (nowMs: number) => boolean;
 	/** Uniform in [0, 1). */
 	readonly random: () => number;
+	/** Targets that the request may be sent to; unlimited if absent. */
+	readonly maxTargets?: number;
+	/** Whether a repeat of what a target declined also takes from the budget. */
+	readonly budgetsDeclined?: boolean;
+	/** Whether a stream that broke after its first part may go on at another target. */
+	readonly isResumable?: boolean;
 };
 
 /** Why a request is asked for again. */
-export type RetryReason = 'overloaded' | 'fenced' | 'not-connected' | 'grant-expired' | 'failed';
+export type RetryReason = 'overloaded' | 'fenced' | 'not-connected' | 'grant-expired' | 'failed' | 'error-answer';
 
 /** Why an answer of a target was not used. */
-export type FaultReason = 'link-broken' | 'unidentified' | 'crossed' | 'malformed' | 'stalled' | 'too-large';
+export type FaultReason = 'link-broken' | 'unidentified' | 'crossed' | 'malformed' | 'stalled' | 'too-large' | 'error-answer';
 
 export type AttemptState = {
 	/** `claiming`: its idempotency key is being claimed; it holds no place in a queue yet. */
@@ -38,6 +44,8 @@
 	readonly mayHaveRun: boolean;
 	/** Asks made after the first one. */
 	readonly retries: number;
+	/** Times that a first byte went to a target. */
+	readonly sends: number;
 };
 
 export type AttemptMessage =
@@ -55,6 +63,8 @@
 	| {readonly kind: 'answered'; readonly cost: number; readonly instance?: string}
 	/** The call ended without a usable answer. Cost is that of what arrived. */
 	| {readonly kind: 'failed'; readonly reason: FaultReason; readonly cost: number; readonly instance?: string}
+	/** The target answered whole, but with a failure of its own that may pass. */
+	| {readonly kind: 'error-answer'; readonly instance?: string}
 	| {readonly kind: 'run-timeout'; readonly limitMs: number; readonly cost: number}
 	| {readonly kind: 'caller-left'}
 	/** A cancelled run has ended at the target. */
@@ -76,6 +86,8 @@
 	| {readonly kind: 'cancel-call'}
 	/** Gives up a run that takes too long. */
 	| {readonly kind: 'abandon-call'}
+	/** Gives the caller the target's own failure. */
+	| {readonly kind: 'deliver-error'}
 	| {readonly kind: 'end-grant'; readonly grant: Grant; readonly result: GrantResult}
 	/** Tells the caller; as an error event if part of an answer went out. */
 	| {readonly kind: 'refuse'; readonly refusal: RefusalError}
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -13,8 +13,52 @@
 	readonly prefixHash?: number;
 	/** Reading of the VM's monotonic clock after which a grant is useless. */
 	readonly deadlineMs: number;
+	/** What a scheduler that places requests by their route needs besides. */
+	readonly placement?: AskPlacement;
 };
 
+/** One shared part of a prompt, in order. */
+export type PromptPart = {
+	/** Equal ids stand for equal text after equal earlier parts. */
+	readonly id: string;
+	readonly tokens: number;
+};
+
+/** The prompt of a request to a model engine. */
+export type Prompt = {
+	readonly model: string;
+	readonly parts: readonly PromptPart[];
+	/** Tokens of the whole prompt. */
+	readonly tokens: number;
+	/** Output tokens that are expected. */
+	readonly outputTokens: number;
+};
+
+export type AskPlacement = {
+	readonly prompt?: Prompt;
+	/** Milliseconds from arrival within which the answer has its full value. */
+	readonly targetLatencyMs: number;
+	/** Monotonic milliseconds of arrival. */
+	readonly arrivedMs: number;
+	/** Targets that this request was sent to before. */
+	readonly tried: readonly string[];
+};
+
+/** What an answer says of its target's load. */
+export type ReportedLoad = {
+	readonly running: number;
+	readonly waiting: number;
+	readonly slots: number;
+};
+
+/** What a call notices on its way. */
+export type Observation =
+	| {readonly kind: 'load'; readonly load: ReportedLoad}
+	/** The first token has arrived: the prompt has been read. */
+	| {readonly kind: 'first-token'}
+	/** The target says that it is another process than the one asked for. */
+	| {readonly kind: 'misdirected'};
+
 /** The right to start one request at one target. */
 export type Grant = {
 	readonly grantId: string;
@@ -59,4 +103,6 @@
 	readonly isValid: (grant: Grant) => boolean;
 	/** Called exactly once for each grant. */
 	readonly end: (grant: Grant, result: GrantResult) => void;
+	/** Told what a call notices before its end. */
+	readonly observe?: (grant: Grant, observation: Observation) => void;
 };
--- /dev/null
+++ b/src/core/placement/messages.ts
@@ -0,0 +1,34 @@
+/** Messages and effects of the placement of one service's requests. */
+import {type GrantResult, type Observation} from '../dispatch/types.js';
+import {type RoutedService, type TargetRecord} from '../routing/types.js';
+import {type PlacedAsk} from './types.js';
+
+export type PlacementMessage =
+	| {readonly kind: 'service'; readonly service: RoutedService}
+	| {readonly kind: 'target'; readonly target: TargetRecord}
+	| {readonly kind: 'target-gone'; readonly id: string}
+	| {readonly kind: 'data-centres-out'; readonly names: ReadonlySet<string>}
+	| {readonly kind: 'ask'; readonly ask: PlacedAsk}
+	| {readonly kind: 'withdraw'; readonly requestId: string}
+	| {readonly kind: 'end'; readonly grantId: string; readonly target: string; readonly result: GrantResult}
+	| {readonly kind: 'observe'; readonly grantId: string; readonly target: string; readonly observation: Observation}
+	/** All connections to a target broke, or none could be opened. */
+	| {readonly kind: 'unreachable'; readonly target: string}
+	| {readonly kind: 'tick'};
+
+export type PlacementEffect =
+	| {readonly kind: 'grant'; readonly ask: PlacedAsk; readonly grantId: string; readonly target: TargetRecord; readonly because: PlacementReason}
+	| {readonly kind: 'reject'; readonly ask: PlacedAsk; readonly reason: 'no-target' | 'too-late'; readonly retryAfterMs: number};
+
+/** The inputs that decided a placement, for the log. */
+export type PlacementReason = {
+	/** Predicted milliseconds until the first token. */
+	readonly predictedMs: number;
+	/** Prompt tokens that the target is taken to keep. */
+	readonly keptTokens: number;
+	/** Requests of this VM, and of others by its last report, that run there. */
+	readonly running: number;
+	readonly othersRunning: number;
+	readonly isCold: boolean;
+	readonly waitedMs: number;
+};
--- /dev/null
+++ b/src/core/placement/placed-target.ts
@@ -0,0 +1,166 @@
+/**
+ * One target as this VM sees it: what was sent there and has not ended, what its answers
+ * say of its load, whether it is cold, and whether it has failed lately.
+ */
+import {type ReportedLoad} from '../dispatch/types.js';
+import {type TargetRecord} from '../routing/types.js';
+import {createRateGate, type RateGate} from './rate-gate.js';
+
+
+/** Milliseconds for which a load report is taken into account. */
+const LOAD_VALID_MS = 2000;
+/** Window of a cold target's rate, in milliseconds; a little more than the second that is counted, for jitter on the way. */
+const COLD_WINDOW_MS = 1100;
+/** Milliseconds for which a target is passed over after its first failure in a row, and at most. */
+const PASS_OVER_MS = 250;
+const MAX_PASS_OVER_MS = 2000;
+/** Heartbeats that a target must send after its connections broke before it counts as the same, warm process. */
+const CONFIRMING_HEARTBEATS = 2;
+
+/** A request that was sent and has not ended. */
+export type Placed = {
+	/** Prompt tokens that the target has to read, as expected. */
+	readonly newTokens: number;
+	/** Tokens that it keeps in memory for the request at most. */
+	readonly heldTokens: number;
+	/** True until the first token. */
+	readonly isReading: boolean;
+	readonly sentMs: number;
+};
+
+export class PlacedTarget {
+	record: TargetRecord;
+	/** Addresses are reused: true while this one answers for another process. */
+	isMisdirected = false;
+	readonly #placed = new Map<string, Placed>();
+	readonly #coldGate: RateGate = createRateGate(COLD_WINDOW_MS);
+	#coldUntilMs: number;
+	/** Heartbeats still to be seen before the target counts as warm again; 0 when none. */
+	#unconfirmed = 0;
+	#failuresInRow = 0;
+	#passOverUntilMs = -Infinity;
+	#load: (ReportedLoad & {readonly atMs: number; readonly own: number}) | undefined;
+	#readingTokens = 0;
+	#heldTokens = 0;
+
+	constructor(record: TargetRecord, nowMs: number) {
+		this.record = record;
+		this.#coldUntilMs = nowMs + record.coldRemainingMs;
+	}
+
+	/** Requests of this VM that run there. */
+	get running(): number {
+		return this.#placed.size;
+	}
+
+	/** Prompt tokens of this VM that the target still has to read. */
+	get readingTokens(): number {
+		return this.#readingTokens;
+	}
+
+	/** Tokens that it keeps for requests of this VM. */
+	get heldTokens(): number {
+		return this.#heldTokens;
+	}
+
+	get failuresInRow(): number {
+		return this.#failuresInRow;
+	}
+
+	/** Takes in a heartbeat; true when it comes from another run of the target. */
+	update(record: TargetRecord, nowMs: number): boolean {
+		const restarted = record.bornMs !== this.record.bornMs || record.address !== this.record.address;
+		const isNews = restarted || record.sequence !== this.record.sequence;
+		this.record = record;
+		if (restarted) {
+			this.isMisdirected = false;
+			this.#unconfirmed = 0;
+			this.#passOverUntilMs = nowMs;
+			this.#failuresInRow = 0;
+			this.#load = undefined;
+		} else if (isNews) {
+			this.#unconfirmed = Math.max(0, this.#unconfirmed - 1);
+		}
+
+		if (isNews) {
+			this.#coldUntilMs = nowMs + record.coldRemainingMs;
+		}
+
+		return restarted;
+	}
+
+	isCold(nowMs: number): boolean {
+		return this.#unconfirmed > 0 || nowMs < this.#coldUntilMs;
+	}
+
+	/** Whether a cold target may get one more request, of `limit` in a second. */
+	hasColdRoom(limit: number, nowMs: number): boolean {
+		return this.#coldGate.isOpen(limit, nowMs);
+	}
+
+	isPassedOver(nowMs: number): boolean {
+		return nowMs < this.#passOverUntilMs;
+	}
+
+	/** Requests of other VMs there, going by the last report. */
+	othersRunning(nowMs: number): number {
+		return this.#load && this.#load.atMs > nowMs - LOAD_VALID_MS
+			? Math.max(0, this.#load.running + this.#load.waiting - this.#load.own)
+			: 0;
+	}
+
+	/** Requests that wait there for their prompt to be read, going by the last report. */
+	reportedWaiting(nowMs: number): number {
+		return this.#load && this.#load.atMs > nowMs - LOAD_VALID_MS ? this.#load.waiting : 0;
+	}
+
+	place(grantId: string, placed: Placed, nowMs: number): void {
+		this.#placed.set(grantId, placed);
+		this.#readingTokens += placed.newTokens;
+		this.#heldTokens += placed.heldTokens;
+		this.#coldGate.count(nowMs);
+	}
+
+	/** The prompt has been read; returns the request as it was. */
+	noteFirstToken(grantId: string): Placed | undefined {
+		const placed = this.#placed.get(grantId);
+		if (!placed?.isReading) {
+			return undefined;
+		}
+
+		this.#readingTokens -= placed.newTokens;
+		this.#placed.set(grantId, {...placed, isReading: false});
+		return placed;
+	}
+
+	end(grantId: string): void {
+		const placed = this.#placed.get(grantId);
+		if (!placed) {
+			return;
+		}
+
+		this.#placed.delete(grantId);
+		this.#heldTokens -= placed.heldTokens;
+		if (placed.isReading) {
+			this.#readingTokens -= placed.newTokens;
+		}
+	}
+
+	noteLoad(load: ReportedLoad, nowMs: number): void {
+		this.#load = {...load, atMs: nowMs, own: this.running};
+	}
+
+	noteAnswered(): void {
+		this.#failuresInRow = 0;
+	}
+
+	noteFailed(nowMs: number): void {
+		this.#passOverUntilMs = nowMs + Math.min(MAX_PASS_OVER_MS, PASS_OVER_MS * (2 ** this.#failuresInRow));
+		this.#failuresInRow++;
+	}
+
+	/** All connections broke, or none can be opened: the process may come back cold. */
+	noteUnreachable(): void {
+		this.#unconfirmed = CONFIRMING_HEARTBEATS;
+	}
+}
--- /dev/null
+++ b/src/core/routing/route-table.ts
@@ -0,0 +1,61 @@
+/** Finds the route of a request: by host, then by the longest path prefix. */
+import {type Route, type WeightedService} from './types.js';
+
+export type RouteTable = {
+	/**
+	 * The route of a request, or undefined.
+	 *
+	 * @param host - As the caller sent it, with or without a port.
+	 * @param path - Path with or without a query.
+	 */
+	readonly find: (host: string, path: string) => Route | undefined;
+};
+
+const hostName = (host: string): string => host.replace(/:\d+$/v, '').toLowerCase();
+
+/** Every prefix of a path that ends with a slash, the longest first. */
+const prefixesOf = (path: string): readonly string[] => {
+	const plain = path.split('?', 1)[0] ?? '';
+	const prefixes: string[] = [];
+	for (let end = plain.lastIndexOf('/'); end >= 0; end = end === 0 ? -1 : plain.lastIndexOf('/', end - 1)) {
+		prefixes.push(plain.slice(0, end + 1));
+	}
+
+	return prefixes;
+};
+
+/** Prepares the look-up for one version of the routes. */
+export const createRouteTable = (routes: readonly Route[]): RouteTable => {
+	const byHost = new Map<string, Map<string, Route>>();
+	for (const route of routes) {
+		const byPrefix = byHost.get(route.host) ?? new Map<string, Route>();
+		byPrefix.set(route.pathPrefix, route);
+		byHost.set(route.host, byPrefix);
+	}
+
+	return {
+		find(host, path) {
+			const byPrefix = byHost.get(hostName(host));
+			const prefix = byPrefix && prefixesOf(path).find(candidate => byPrefix.has(candidate));
+			return prefix === undefined ? undefined : byPrefix?.get(prefix);
+		},
+	};
+};
+
+/**
+ * Chooses the service of one request by weight.
+ *
+ * @param random - Uniform in [0, 1).
+ */
+export const chooseService = (services: readonly WeightedService[], random: () => number): string | undefined => {
+	const total = services.reduce((sum, {weight}) => sum + weight, 0);
+	let rest = random() * total;
+	for (const {service, weight} of services) {
+		rest -= weight;
+		if (rest < 0) {
+			return service;
+		}
+	}
+
+	return services.at(-1)?.service;
+};
--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -37,6 +37,7 @@
 	callers: address('Address on which callers\' requests are accepted.').default('0.0.0.0:8080'),
 	control: address('Address on which the other VMs connect.').default('0.0.0.0:8081'),
 	admin: address('Address of the operators\' interface, health and metrics.').default('127.0.0.1:8082'),
+	metrics: address('Address that serves metrics alone, where the operators\' interface is not reachable.').optional(),
 }).meta({description: 'Addresses on which this VM listens. Port 0 lets the system choose.'});
 
 const platform = z.strictObject({
@@ -89,6 +90,19 @@
 	bootstrap_from_loopback: flag('Whether calls from this VM itself need no token while the fleet configuration has no operator.').default(true),
 }).meta({description: 'The operators\' interface.'});
 
+const fraction = (description: string, max: number) =>
+	z.number().min(0).max(max).meta({description, allowed: `a number from 0 to ${max}`});
+
+const bounds = z.strictObject({
+	cold_factor: fraction('Multiple of its stated rate that a cold target survives.', 100).default(1),
+	cold_slack: integer('Requests beyond that multiple which a cold target survives in one second.', 0, 100_000).default(0),
+	retry_ratio: fraction('Repeats allowed for each request to a service, over the whole fleet.', 10).default(0.1),
+	retry_window_s: fraction('Length of the sliding window in which repeats are counted, in seconds.', 600).default(10),
+	retry_slack: integer('Repeats allowed in that window beyond the ratio, over the whole fleet.', 0, 100_000).default(20),
+	grace_s: fraction('Time from a stop signal to the end of the process, in seconds.', 600).default(10),
+	heartbeat_ms: integer('Time between heartbeats of a target.', 10, MAX_TIME_MS).default(1000),
+}).meta({description: 'Bounds that the deployment promises over all VMs together.'});
+
 /** Schema of the file, in the spelling of the file. */
 export const settingsFileSchema = z.strictObject({
 	vm,
@@ -106,6 +120,7 @@
 	control: control.prefault({}),
 	policy: policy.prefault({}),
 	admin: admin.prefault({}),
+	bounds: bounds.prefault({}),
 });
 
 const settingsSchema = settingsFileSchema.transform(value => camelKeys(value));
--- a/src/runtime/entry/attempt-context.ts
+++ b/src/runtime/entry/attempt-context.ts
@@ -1,6 +1,7 @@
 import {type CostEstimator} from '../../core/admission/cost-estimator.js';
 import {type TeamGate} from '../../core/admission/team-gate.js';
 import {type RetryBudget} from '../../core/attempt/retry-budget.js';
+import {type CreateCalls} from './running-call.js';
 import {type TargetPools} from './target-pools.js';
 import {type EntryContext} from './types.js';
 
@@ -10,4 +11,6 @@
 	readonly gate: TeamGate;
 	readonly retryBudget: RetryBudget;
 	readonly estimator: CostEstimator;
+	/** Speaks to targets in another protocol than the product's own. */
+	readonly createCalls?: CreateCalls;
 };
--- a/src/runtime/entry/attempt-inputs.ts
+++ b/src/runtime/entry/attempt-inputs.ts
@@ -1,8 +1,8 @@
 /** What a job means for its state machine and for the scheduler. */
 import {type AttemptSpec} from '../../core/attempt/types.js';
-import {type Ask} from '../../core/dispatch/types.js';
+import {type Ask, type AskPlacement} from '../../core/dispatch/types.js';
 import {type AttemptContext} from './attempt-context.js';
-import {type Job} from './job.js';
+import {type Job, type JobRoute} from './job.js';
 
 /** The fixed facts of an attempt. */
 export const specOf = (job: Job, ctx: AttemptContext): AttemptSpec => ({
@@ -11,12 +11,17 @@
 	repeat: job.serviceConfig.repeat,
 	startByMs: job.startByMs,
 	needsClaim: job.serviceConfig.repeat === 'never' && job.idempotencyKey !== undefined,
-	takeRetry: ctx.retryBudget.take,
+	takeRetry: nowMs => ctx.retryBudget.take(nowMs, job.service),
 	random: ctx.random,
+	...(job.route && {maxTargets: job.route.maxTargets, isResumable: job.route.isResumable, budgetsDeclined: true}),
+});
+
+const placementOf = (job: Job, {targetLatencyMs, prompt}: JobRoute, tried: readonly string[]): AskPlacement => ({
+	targetLatencyMs, arrivedMs: job.arrivedMs, tried, ...(prompt && {prompt}),
 });
 
 /** The ask for a job, with its cost as expected now. */
-export const askOf = (job: Job, ctx: AttemptContext): Ask => {
+export const askOf = (job: Job, ctx: AttemptContext, tried: readonly string[] = []): Ask => {
 	const {initialCost, maxCost} = job.serviceConfig;
 	const hint = job.costHint === undefined ? {} : {hint: job.costHint};
 	return {
@@ -27,5 +32,6 @@
 		deadlineMs: job.startByMs,
 		...(job.costHint !== undefined && {costHint: job.costHint}),
 		...(job.prefixHash !== undefined && {prefixHash: job.prefixHash}),
+		...(job.route && {placement: placementOf(job, job.route, tried)}),
 	};
 };
--- a/src/runtime/entry/attempt-task.ts
+++ b/src/runtime/entry/attempt-task.ts
@@ -15,6 +15,7 @@
 import {askOf, specOf} from './attempt-inputs.js';
 import {type CallerAnswer} from './caller-answer.js';
 import {type Job} from './job.js';
+import {type CreateCall, type CreateCalls, type RunningCall} from './running-call.js';
 import {TargetCall} from './target-call.js';
 
 type Effect<Kind extends AttemptEffect['kind']> = Extract<AttemptEffect, {kind: Kind}>;
@@ -24,14 +25,21 @@
 
 const isWaiting = ({kind}: AttemptState): boolean => kind === 'claiming' || kind === 'queued';
 
+/** Calls in the product's own protocol. */
+const ownCalls = ({pools, metrics, stallMs}: AttemptContext): CreateCalls => (job, answer) => options => new TargetCall({
+	...options, job, answer, metrics, pool: () => pools.get(options.grant.address), ...(stallMs !== undefined && {stallMs}),
+});
+
 class AttemptTask {
 	#state: AttemptState = initialAttempt;
 	#pending: PendingAsk | undefined;
 	#askTimer: NodeJS.Timeout | undefined;
 	#runTimer: NodeJS.Timeout | undefined;
-	#call: TargetCall | undefined;
+	#call: RunningCall | undefined;
 	#claim: Promise<Claim> | undefined;
 	#lastTarget: string | undefined;
+	readonly #tried: string[] = [];
+	readonly #createCall: CreateCall;
 
 	readonly #job: Job;
 	readonly #answer: CallerAnswer;
@@ -45,10 +53,17 @@
 		this.#ctx = ctx;
 		this.#spec = specOf(job, ctx);
 		this.#onDone = onDone;
+		this.#createCall = (ctx.createCalls ?? ownCalls(ctx))(job, answer);
 	}
 
 	begin(): void {
-		this.#ctx.retryBudget.earn();
+		const {retryBudget, clock} = this.#ctx;
+		const {service, route} = this.#job;
+		retryBudget.earn(clock.nowMs(), service);
+		if (route) {
+			this.#startRunTimer(route.endByMs - clock.nowMs());
+		}
+
 		this.#tell({kind: 'begin'});
 		this.#answer.onDrain(() => {
 			this.#call?.resume();
@@ -151,6 +166,11 @@
 				break;
 			}
 
+			case 'deliver-error': {
+				this.#call?.deliverError?.();
+				break;
+			}
+
 			case 'end-grant': {
 				this.#endGrant(effect);
 				break;
@@ -196,7 +216,7 @@
 	async #ask(): Promise<void> {
 		let message: AttemptMessage;
 		try {
-			this.#pending = this.#ctx.scheduler.ask(askOf(this.#job, this.#ctx));
+			this.#pending = this.#ctx.scheduler.ask(askOf(this.#job, this.#ctx, this.#tried));
 			message = {kind: 'granted', grant: await this.#pending.granted};
 		} catch (error) {
 			message = {kind: 'rejected', refusal: asRefusal(error)};
@@ -206,15 +226,11 @@
 	}
 
 	#startCall(grant: Grant): void {
-		const {scheduler, pools, metrics, stallMs} = this.#ctx;
+		const {scheduler} = this.#ctx;
 		this.#lastTarget = grant.target;
-		this.#call = new TargetCall({
-			job: this.#job,
+		this.#tried.push(grant.target);
+		this.#call = this.#createCall({
 			grant,
-			pool: () => pools.get(grant.address),
-			answer: this.#answer,
-			metrics,
-			...(stallMs !== undefined && {stallMs}),
 			mayWrite: () => this.#tell({kind: 'writing', valid: scheduler.isValid(grant)}).some(({kind}) => kind === 'write'),
 			tell: message => {
 				this.#tell(message);
@@ -227,14 +243,23 @@
 		const {metrics, clock} = this.#ctx;
 		const {service, arrivedMs, serviceConfig: {maxRunMs: limitMs}} = this.#job;
 		metrics.queueWait.observe({service}, (clock.nowMs() - arrivedMs) / 1000);
+		if (!this.#job.route) {
+			this.#startRunTimer(limitMs);
+		}
+	}
+
+	#startRunTimer(limitMs: number): void {
 		clearTimeout(this.#runTimer);
 		this.#runTimer = setTimeout(() => {
-			this.#tell({kind: 'run-timeout', limitMs, cost: this.#call?.cost ?? 0});
+			this.#tell({kind: 'run-timeout', limitMs: Math.round(limitMs), cost: this.#call?.cost ?? 0});
 		}, limitMs);
 	}
 
 	#endGrant({grant, result}: Effect<'end-grant'>): void {
-		clearTimeout(this.#runTimer);
+		if (!this.#job.route) {
+			clearTimeout(this.#runTimer);
+		}
+
 		if (result.kind === 'answered' || result.kind === 'cancelled') {
 			this.#ctx.estimator.observe(this.#job.team, this.#job.service, result.cost, this.#job.costHint);
 		}
@@ -253,6 +278,7 @@
 		const {requestId, team, service, arrivedMs} = this.#job;
 		const seconds = (clock.nowMs() - arrivedMs) / 1000;
 		clearTimeout(this.#askTimer);
+		clearTimeout(this.#runTimer);
 		void this.#settleClaim({kind: 'ended', outcome, ran});
 		metrics.requests.inc({service, outcome});
 		metrics.answerTime.observe({service}, seconds);
--- a/src/runtime/entry/caller-answer.ts
+++ b/src/runtime/entry/caller-answer.ts
@@ -36,8 +36,21 @@
 	});
 };
 
+/** What an interface adds to its answers, and how it tells a refusal. */
+export type AnswerForm = {
+	readonly headers: Headers;
+	readonly writeRefusal: (res: ServerResponse, err: RefusalError) => void;
+};
+
+const ownForm = (requestId: string): AnswerForm => ({
+	headers: {'x-request-id': requestId},
+	writeRefusal(res, err) {
+		writeRefusal(res, err, requestId);
+	},
+});
+
 /** Wraps a response. */
-export const createCallerAnswer = (res: ServerResponse, requestId: string): CallerAnswer => {
+export const createCallerAnswer = (res: ServerResponse, requestId: string, answerForm = ownForm(requestId)): CallerAnswer => {
 	let form: 'none' | 'events' | 'bytes' = 'none';
 	let ended = false;
 	res.once('close', () => {
@@ -46,7 +59,7 @@
 
 	const tellRefusal = (err: RefusalError) => {
 		if (form === 'none') {
-			writeRefusal(res, err, requestId);
+			answerForm.writeRefusal(res, err);
 		} else if (form === 'events') {
 			res.end(errorEvent(err, requestId));
 		} else {
@@ -58,7 +71,7 @@
 		begin(status, headers, newForm) {
 			if (!ended && form === 'none') {
 				form = newForm;
-				res.writeHead(status, {...headers, 'x-request-id': requestId});
+				res.writeHead(status, {...headers, ...answerForm.headers});
 			}
 		},
 		write: chunk => ended || res.write(chunk),
--- a/src/runtime/entry/headers.ts
+++ b/src/runtime/entry/headers.ts
@@ -3,7 +3,7 @@
 import {type Headers} from './job.js';
 
 /** Headers that concern one connection only. */
-const hopByHop: ReadonlySet<string> = new Set([
+export const hopByHop: ReadonlySet<string> = new Set([
 	'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'proxy-connection', 'expect',
 ]);
 
--- a/src/runtime/entry/job.ts
+++ b/src/runtime/entry/job.ts
@@ -1,4 +1,5 @@
 /** One caller's request, read and checked, ready to be asked for. */
+import {type Prompt} from '../../core/dispatch/types.js';
 import {type ServiceConfig} from '../../core/world/fleet-config.js';
 
 /** Header fields by lower-case name. */
@@ -26,4 +27,21 @@
 	/** Monotonic milliseconds. */
 	readonly arrivedMs: number;
 	readonly startByMs: number;
+	/** Present where a route decides how the request is placed and repeated. */
+	readonly route?: JobRoute;
+};
+
+/** What the route of a request decides. */
+export type JobRoute = {
+	readonly name: string;
+	/** Targets on which the request may run. */
+	readonly maxTargets: number;
+	/** Whether a broken stream may go on at another target. */
+	readonly isResumable: boolean;
+	/** Monotonic milliseconds by which the caller gets its final answer. */
+	readonly endByMs: number;
+	/** Monotonic milliseconds until which the caller waits. */
+	readonly callerWaitsUntilMs: number;
+	readonly targetLatencyMs: number;
+	readonly prompt?: Prompt;
 };
--- a/src/runtime/entry/start-entry.ts
+++ b/src/runtime/entry/start-entry.ts
@@ -1,6 +1,5 @@
 /** The callers' HTTP interface of one VM. */
 import {randomUUID} from 'node:crypto';
-import {once} from 'node:events';
 import * as http from 'node:http';
 import * as https from 'node:https';
 import {type Duplex} from 'node:stream';
@@ -16,6 +15,7 @@
 import {handleRequest, refuseEarly, type ReadJob} from './handle-request.js';
 import {readCompletion, readPlainCall} from './read-job.js';
 import {rawRefusal} from './refuse.js';
+import {listen} from './listen.js';
 import {createServerStop} from './server-stop.js';
 import {createTargetPools} from './target-pools.js';
 import {type Entry, type EntryLimits, type EntryOptions} from './types.js';
@@ -89,17 +89,6 @@
 	server.on('request', app.handler);
 };
 
-const listen = async (server: http.Server, {listen: {host, port}}: EntryOptions): Promise<string> => {
-	server.listen(port, host);
-	await once(server, 'listening');
-	const bound = server.address();
-	if (bound === null || typeof bound === 'string') {
-		return host;
-	}
-
-	return bound.family === 'IPv6' ? `[${bound.address}]:${bound.port}` : `${bound.address}:${bound.port}`;
-};
-
 /** Tells whether the configuration names a target at an address. */
 const isTargetIn = ({config}: EntryOptions) => (address: string): boolean =>
 	Object.values(config()?.targets ?? {}).some(target => target.address === address);
@@ -133,7 +122,7 @@
 	addRoutes(server, ctx, track);
 
 	return {
-		address: await listen(server, options),
+		address: await listen(server, options.listen),
 		reloadTls(tls) {
 			if (server instanceof https.Server) {
 				server.setSecureContext(tls);
--- a/src/runtime/entry/target-pools.ts
+++ b/src/runtime/entry/target-pools.ts
@@ -14,19 +14,41 @@
 	readonly close: () => Promise<void>;
 };
 
-const createPool = (address: string): Pool => new Pool(`http://${address}`, {
-	connections: MAX_CONNECTIONS,
-	pipelining: 1,
-	connectTimeout: CONNECT_TIMEOUT_MS,
-	keepAliveTimeout: KEEP_ALIVE_MS,
-	keepAliveMaxTimeout: KEEP_ALIVE_MS,
-});
+/** Taken off the idle time that a target names, for the way there. */
+const KEEP_ALIVE_MARGIN_MS = 600;
+
+export type TargetPoolsOptions = {
+	/** Connections to one address at most. */
+	readonly connections?: (address: string) => number;
+	/** Called when a connection cannot be opened, or the last one broke. */
+	readonly onUnreachable?: (address: string) => void;
+};
+
+const createPool = (address: string, {connections, onUnreachable}: TargetPoolsOptions): Pool => {
+	const pool = new Pool(`http://${address}`, {
+		connections: connections?.(address) ?? MAX_CONNECTIONS,
+		pipelining: 1,
+		connectTimeout: CONNECT_TIMEOUT_MS,
+		keepAliveTimeout: KEEP_ALIVE_MS,
+		keepAliveMaxTimeout: KEEP_ALIVE_MS,
+		keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+	});
+	pool.on('connectionError', () => {
+		onUnreachable?.(address);
+	});
+	pool.on('disconnect', (_origin, _targets, err) => {
+		if (pool.stats.connected === 0 && err.code === 'UND_ERR_SOCKET') {
+			onUnreachable?.(address);
+		}
+	});
+	return pool;
+};
 
 /**
  * Creates pools on first use. Each time an address is new, the idle pools of addresses
  * that are no longer in use are closed.
  */
-export const createTargetPools = (isInUse: (address: string) => boolean): TargetPools => {
+export const createTargetPools = (isInUse: (address: string) => boolean, options: TargetPoolsOptions = {}): TargetPools => {
 	const pools = new Map<string, Pool>();
 	const closeUnused = () => {
 		for (const [address, pool] of pools) {
@@ -45,7 +67,7 @@
 			}
 
 			closeUnused();
-			const pool = createPool(address);
+			const pool = createPool(address, options);
 			pools.set(address, pool);
 			return pool;
 		},
--- /dev/null
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -0,0 +1,192 @@
+/** The scheduler of routed requests: one placement for each service, fed with news and asks. */
+import {type Clock} from '../../core/clock.js';
+import {type Grant, type PendingAsk, type Scheduler} from '../../core/dispatch/types.js';
+import {RefusalError} from '../../core/errors/refusal-error.js';
+import {DeadlinePassed, NoTarget} from '../../core/errors/refusals-data.js';
+import {type PlacementEffect, type PlacementMessage} from '../../core/placement/messages.js';
+import {ServicePlacement} from '../../core/placement/service-placement.js';
+import {type FleetBounds, type PlacedAsk} from '../../core/placement/types.js';
+import {type FleetNews} from '../../core/routing/types.js';
+import {type Log} from '../observe/log.js';
+import {type FleetView} from './fleet-view.js';
+
+/** Milliseconds between looks at what waits, while something waits. */
+const TICK_MS = 15;
+/** Milliseconds for which a grant may be used. */
+const GRANT_MS = 1000;
+/** Target latency of requests that name none. */
+const DEFAULT_LATENCY_MS = 1000;
+
+export type PlacementSchedulerOptions = {
+	readonly vm: string;
+	readonly dataCentre: string;
+	readonly bounds: FleetBounds;
+	readonly clock: Clock;
+	readonly view: FleetView;
+	/** Names of the VMs of the fleet, this one included. */
+	readonly vms: () => readonly string[];
+	readonly log: Log;
+};
+
+export type PlacementScheduler = Scheduler & {
+	readonly onNews: (news: FleetNews) => void;
+	readonly onUnreachable: (address: string) => void;
+	readonly stop: () => void;
+	/** Asks that wait, by service. */
+	readonly waiting: () => ReadonlyMap<string, number>;
+};
+
+type Waiter = {
+	readonly resolve: (grant: Grant) => void;
+	readonly reject: (err: RefusalError) => void;
+};
+
+export const createPlacementScheduler = ({vm, dataCentre, bounds, clock, view, vms, log}: PlacementSchedulerOptions): PlacementScheduler => {
+	const placements = new Map<string, ServicePlacement>();
+	const waiters = new Map<string, Waiter>();
+	const serviceOfGrant = new Map<string, string>();
+	let grants = 0;
+	let timer: NodeJS.Timeout | undefined;
+
+	const perform = (service: string, effects: readonly PlacementEffect[]): void => {
+		for (const effect of effects) {
+			const waiter = waiters.get(effect.ask.requestId);
+			waiters.delete(effect.ask.requestId);
+			if (effect.kind === 'reject') {
+				log.info('request not placed', {request_id: effect.ask.requestId, service, reason: effect.reason, retry_after_ms: Math.round(effect.retryAfterMs), waited_ms: Math.round(clock.nowMs() - effect.ask.arrivedMs)});
+				waiter?.reject(new RefusalError(effect.reason === 'no-target' ? NoTarget : DeadlinePassed, {service}, {retryAfterMs: effect.retryAfterMs}));
+				continue;
+			}
+
+			const {target, grantId, because} = effect;
+			log.info('request placed', {
+				request_id: effect.ask.requestId, service, target: target.id, predicted_ms: Math.round(because.predictedMs), kept_tokens: because.keptTokens,
+				running: because.running, others: because.othersRunning, cold: because.isCold, waited_ms: Math.round(because.waitedMs),
+			});
+			serviceOfGrant.set(grantId, service);
+			waiter?.resolve({
+				grantId, target: target.id, address: target.address, epoch: 0n, instance: target.id, expiresAtMs: clock.nowMs() + GRANT_MS,
+			});
+		}
+	};
+
+	const tell = (service: string, message: PlacementMessage): void => {
+		const placement = placements.get(service);
+		if (placement) {
+			perform(service, placement.handle(message, clock.nowMs()));
+			arm();
+		}
+	};
+
+	const tellAll = (message: PlacementMessage): void => {
+		for (const service of placements.keys()) {
+			tell(service, message);
+		}
+	};
+
+	function arm(): void {
+		if (timer === undefined && waiters.size > 0) {
+			timer = setTimeout(() => {
+				timer = undefined;
+				tellAll({kind: 'tick'});
+				arm();
+			}, TICK_MS);
+		}
+	}
+
+	const onConfig = ({config}: Extract<FleetNews, {kind: 'config'}>): void => {
+		for (const service of config.services.values()) {
+			if (placements.has(service.name)) {
+				tell(service.name, {kind: 'service', service});
+				continue;
+			}
+
+			placements.set(service.name, new ServicePlacement({
+				service, bounds, vm, vms, dataCentre, createGrantId: () => `${vm}-${++grants}`,
+			}));
+			tell(service.name, {kind: 'data-centres-out', names: view.outNames()});
+			for (const target of view.targets().values()) {
+				if (target.service === service.name) {
+					tell(service.name, {kind: 'target', target});
+				}
+			}
+		}
+	};
+
+	const ask = (service: string, placed: PlacedAsk): PendingAsk => {
+		const granted = new Promise<Grant>((resolve, reject) => {
+			waiters.set(placed.requestId, {resolve, reject});
+		});
+		if (placements.has(service)) {
+			tell(service, {kind: 'ask', ask: placed});
+		} else {
+			perform(service, [{kind: 'reject', ask: placed, reason: 'no-target', retryAfterMs: DEFAULT_LATENCY_MS}]);
+		}
+
+		return {
+			granted,
+			withdraw() {
+				waiters.delete(placed.requestId);
+				tell(service, {kind: 'withdraw', requestId: placed.requestId});
+			},
+		};
+	};
+
+	return {
+		ask: wish => ask(wish.service, {
+			...wish, ...(wish.placement ?? {targetLatencyMs: DEFAULT_LATENCY_MS, arrivedMs: clock.nowMs(), tried: []}),
+		}),
+		isValid({target: id, expiresAtMs}) {
+			const target = view.targets().get(id);
+			return target !== undefined && !target.isDraining && !view.isOut(target.dataCentre) && clock.nowMs() < expiresAtMs;
+		},
+		end({grantId, target}, result) {
+			const service = serviceOfGrant.get(grantId);
+			serviceOfGrant.delete(grantId);
+			if (service !== undefined) {
+				tell(service, {kind: 'end', grantId, target, result});
+			}
+		},
+		observe({grantId, target}, observation) {
+			const service = serviceOfGrant.get(grantId);
+			if (service !== undefined) {
+				tell(service, {kind: 'observe', grantId, target, observation});
+			}
+		},
+		onNews(news) {
+			switch (news.kind) {
+				case 'config': {
+					onConfig(news);
+					break;
+				}
+
+				case 'target': {
+					tell(news.target.service, news);
+					break;
+				}
+
+				case 'target-gone':
+				case 'data-centres-out': {
+					tellAll(news);
+					break;
+				}
+
+				default: {
+					break;
+				}
+			}
+		},
+		onUnreachable(address) {
+			for (const target of view.targets().values()) {
+				if (target.address === address) {
+					log.warn('target unreachable', {target: target.id, address});
+					tell(target.service, {kind: 'unreachable', target: target.id});
+				}
+			}
+		},
+		stop() {
+			clearTimeout(timer);
+		},
+		waiting: () => new Map([...placements].map(([service, placement]) => [service, placement.waiting])),
+	};
+};
--- /dev/null
+++ b/src/runtime/routing/relay-call.ts
@@ -0,0 +1,283 @@
+/**
+ * The call of one placed request. Plain answers are collected and checked before the
+ * caller gets a byte; streams are passed on event by event and can go on where an
+ * earlier call broke.
+ */
+import {Buffer} from 'node:buffer';
+import {type IncomingHttpHeaders} from 'node:http';
+import {type Dispatcher} from 'undici';
+import {type Clock} from '../../core/clock.js';
+import {type FaultReason} from '../../core/attempt/types.js';
+import {type Observation} from '../../core/dispatch/types.js';
+import {callTarget, type Call} from '../entry/call-target.js';
+import {type CallerAnswer} from '../entry/caller-answer.js';
+import {type Job} from '../entry/job.js';
+import {type CallOptions, type CreateCalls, type RunningCall} from '../entry/running-call.js';
+import {createStallTimer, type StallTimer} from '../entry/stall-timer.js';
+import {type Log} from '../observe/log.js';
+import {createEventRelay, type EventRelay} from './event-relay.js';
+import {type TargetWire} from './types.js';
+
+/** Plain answers up to this many bytes are checked whole before the caller gets any. */
+const MAX_COLLECTED_BYTES = 262_144;
+/** Milliseconds without a byte in the middle of a stream after which it counts as broken. */
+const STREAM_STALL_MS = 1800;
+
+export type RelayOptions = {
+	readonly wire: TargetWire;
+	readonly pool: (address: string) => Dispatcher;
+	readonly clock: Clock;
+	readonly log: Log;
+	readonly observe: (grant: CallOptions['grant'], observation: Observation) => void;
+};
+
+/** What the calls of one attempt share. */
+type Progress = {
+	readonly job: Job;
+	readonly answer: CallerAnswer;
+	readonly events: EventRelay;
+	hasBegun: boolean;
+};
+
+const isEvents = (headers: IncomingHttpHeaders): boolean => String(headers['content-type'] ?? '').startsWith('text/event-stream');
+
+class RelayCall implements RunningCall {
+	readonly cost = 0;
+	readonly #options: RelayOptions & CallOptions;
+	readonly #progress: Progress;
+	readonly #stall: StallTimer;
+	#call: Call | undefined;
+	#open = true;
+	#isStream = false;
+	#cancelled = false;
+	#head: {readonly status: number; readonly headers: IncomingHttpHeaders; readonly isError: boolean} | undefined;
+	#chunks: Uint8Array[] = [];
+	#size = 0;
+
+	constructor(options: RelayOptions & CallOptions, progress: Progress) {
+		this.#options = options;
+		this.#progress = progress;
+		this.#stall = createStallTimer(() => {
+			this.#fail('stalled');
+		}, STREAM_STALL_MS);
+	}
+
+	start(): void {
+		const {wire, pool, grant, clock, mayWrite} = this.#options;
+		const {job, events, hasBegun} = this.#progress;
+		events.restart();
+		const request = wire.request(job.request, {
+			instance: grant.instance,
+			waitsMs: Math.max(1, Math.floor((job.route?.callerWaitsUntilMs ?? Infinity) - clock.nowMs())),
+			afterEvent: hasBegun ? events.lastId() : undefined,
+		});
+		this.#call = callTarget(pool(grant.address), request, {
+			onWriting: () => this.#open && mayWrite(),
+			onHeaders: (status, headers) => {
+				this.#onHeaders(status, headers);
+			},
+			onData: chunk => {
+				this.#onData(chunk);
+			},
+			onEnd: () => {
+				this.#onEnd();
+			},
+			onError: err => {
+				this.#onError(err);
+			},
+		});
+	}
+
+	drop(): void {
+		this.#open = false;
+		this.#stall.stop();
+		this.#call?.close();
+	}
+
+	/** What may not be repeated runs to its end, since breaking it off saves nothing that counts. */
+	cancel(): void {
+		this.#cancelled = true;
+		const {job} = this.#progress;
+		if (job.mode === 'stream' || job.serviceConfig.repeat === 'safe') {
+			this.#call?.close();
+			this.#finish({kind: 'cancelled', cost: 0});
+		} else {
+			this.#call?.resume();
+		}
+	}
+
+	abandon(): void {
+		this.drop();
+	}
+
+	resume(): void {
+		this.#call?.resume();
+		if (this.#open && this.#isStream) {
+			this.#stall.touch();
+		}
+	}
+
+	deliverError(): void {
+		this.#deliverCollected();
+	}
+
+	#finish(message: Parameters<CallOptions['tell']>[0]): void {
+		if (this.#open) {
+			this.#open = false;
+			this.#stall.stop();
+			this.#options.tell(message);
+		}
+	}
+
+	#fail(reason: FaultReason): void {
+		this.#call?.close();
+		this.#finish({kind: 'failed', reason, cost: 0});
+	}
+
+	#onError(err: Error): void {
+		const {log, grant} = this.#options;
+		if (this.#open) {
+			log.info('call broke', {request_id: this.#progress.job.requestId, target: grant.target, fault: err.message, events: this.#progress.events.events()});
+		}
+
+		this.#fail('link-broken');
+	}
+
+	#onHeaders(status: number, headers: IncomingHttpHeaders): void {
+		const {wire, grant, observe, log} = this.#options;
+		const {requestId} = this.#progress.job;
+		const kind = wire.classify(requestId, status, headers);
+		const load = wire.load(headers);
+		if (load && kind !== 'crossed' && kind !== 'misdirected') {
+			observe(grant, {kind: 'load', load});
+		}
+
+		if (kind === 'answer' || kind === 'error') {
+			this.#head = {status, headers, isError: kind === 'error'};
+			this.#isStream = kind === 'answer' && isEvents(headers);
+			return;
+		}
+
+		log.info('answer not used', {request_id: requestId, target: grant.target, status, reason: kind});
+		if (kind === 'crossed') {
+			this.#fail('crossed');
+			return;
+		}
+
+		if (kind === 'misdirected') {
+			observe(grant, {kind: 'misdirected'});
+		}
+
+		// The rest of the answer is read to nowhere, so that the connection can be used again.
+		this.#finish({kind: 'declined', reason: kind === 'misdirected' ? 'fenced' : 'overloaded'});
+	}
+
+	#onData(chunk: Uint8Array): void {
+		if (!this.#open) {
+			return;
+		}
+
+		if (this.#isStream) {
+			this.#stall.touch();
+			this.#relay(chunk);
+		} else {
+			this.#collect(chunk);
+		}
+	}
+
+	#relay(chunk: Uint8Array): void {
+		const {events, answer} = this.#progress;
+		const whole = events.feed(chunk);
+		if (!whole || this.#cancelled) {
+			return;
+		}
+
+		this.#options.observe(this.#options.grant, {kind: 'first-token'});
+		this.#begin();
+		if (!answer.write(whole)) {
+			this.#stall.stop();
+			this.#call?.pause();
+		}
+	}
+
+	#begin(): void {
+		const {head, progress} = {head: this.#head, progress: this.#progress};
+		if (progress.hasBegun || !head) {
+			return;
+		}
+
+		progress.hasBegun = true;
+		this.#options.tell({kind: 'delivering'});
+		progress.answer.begin(head.status, this.#options.wire.callerHeaders(head.headers), 'bytes');
+	}
+
+	#collect(chunk: Uint8Array): void {
+		const {answer, hasBegun} = this.#progress;
+		if (hasBegun) {
+			if (!answer.write(chunk)) {
+				this.#call?.pause();
+			}
+
+			return;
+		}
+
+		this.#chunks.push(chunk);
+		this.#size += chunk.length;
+		if (this.#size > MAX_COLLECTED_BYTES) {
+			this.#begin();
+			answer.write(Buffer.concat(this.#chunks));
+			this.#chunks = [];
+		}
+	}
+
+	#onEnd(): void {
+		if (!this.#open) {
+			return;
+		}
+
+		const {events, answer, hasBegun} = this.#progress;
+		if (this.#isStream) {
+			if (events.hasRest()) {
+				this.#fail('link-broken');
+				return;
+			}
+
+			this.#begin();
+			answer.end();
+		} else if (this.#head?.isError) {
+			if (hasBegun) {
+				this.#fail('error-answer');
+			} else {
+				this.#finish({kind: 'error-answer'});
+			}
+
+			return;
+		} else if (hasBegun) {
+			answer.end();
+		} else {
+			this.#deliverCollected();
+		}
+
+		this.#finish({kind: 'answered', cost: 0});
+	}
+
+	#deliverCollected(): void {
+		const {answer} = this.#progress;
+		const head = this.#head;
+		if (head) {
+			const body = Buffer.concat(this.#chunks);
+			const headers = this.#options.wire.callerHeaders(head.headers);
+			answer.begin(head.status, head.status === 204 || head.status === 304 ? headers : {...headers, 'content-length': String(body.length)}, 'bytes');
+			answer.end(body);
+		}
+	}
+}
+
+/** Prepares the calls of attempts. */
+export const createRelayCalls = (options: RelayOptions): CreateCalls => (job, answer) => {
+	const afterEvent = job.request.headers['last-event-id'];
+	const progress: Progress = {
+		job, answer, events: createEventRelay(typeof afterEvent === 'string' ? afterEvent : undefined), hasBegun: false,
+	};
+	return call => new RelayCall({...options, ...call}, progress);
+};
--- /dev/null
+++ b/src/runtime/routing/route-request.ts
@@ -0,0 +1,78 @@
+/** From a caller's request to a job: route, team, limits. */
+import {type IncomingMessage} from 'node:http';
+import {RefusalError} from '../../core/errors/refusal-error.js';
+import {
+	NotReady, NoTarget, Unauthenticated, UnknownRoute,
+} from '../../core/errors/refusals-data.js';
+import {chooseService} from '../../core/routing/route-table.js';
+import {type Route} from '../../core/routing/types.js';
+import {type ServiceConfig} from '../../core/world/fleet-config.js';
+import {type Job} from '../entry/job.js';
+import {type FleetView} from './fleet-view.js';
+import {type CallerWire, type RoutedHead, type Routed} from './types.js';
+
+/** Milliseconds after which a caller may find this VM ready. */
+const NOT_READY_RETRY_MS = 500;
+/** Team of requests that need no key. */
+export const OPEN_TEAM = '(open)';
+
+/** Finds the route and the team of a request, or throws a typed refusal. */
+export const routeRequest = (view: FleetView, head: RoutedHead, path: string): Routed => {
+	const inForce = view.inForce();
+	if (!inForce || !view.isComplete()) {
+		throw new RefusalError(NotReady, {}, {retryAfterMs: NOT_READY_RETRY_MS});
+	}
+
+	const {config, routes} = inForce;
+	const route = routes.find(head.host, path);
+	if (!route) {
+		throw new RefusalError(UnknownRoute, {path});
+	}
+
+	const team = head.key === undefined ? undefined : config.teamsByKey?.get(head.key);
+	if (config.teamsByKey && !route.isOpen && team === undefined) {
+		throw new RefusalError(Unauthenticated);
+	}
+
+	return {route, config, team};
+};
+
+const repeatOf = ({kind, isResumable}: Route): ServiceConfig['repeat'] =>
+	kind === 'idempotent' || (kind === 'stream' && isResumable) ? 'safe' : 'never';
+
+/** Makes the job of a routed request whose body has been read. */
+export const createJob = (
+	req: IncomingMessage,
+	{head, routed: {route, team}, body, arrivedMs}: {readonly head: RoutedHead; readonly routed: Routed; readonly body: Uint8Array; readonly arrivedMs: number},
+	{wire, random}: {readonly wire: CallerWire; readonly random: () => number},
+): Job => {
+	const service = chooseService(route.services, random);
+	if (service === undefined) {
+		throw new RefusalError(NoTarget, {service: route.name}, {retryAfterMs: NOT_READY_RETRY_MS});
+	}
+
+	const callerWaitsUntilMs = arrivedMs + (head.waitsMs ?? route.timeoutMs);
+	const endByMs = Math.min(callerWaitsUntilMs, arrivedMs + route.timeoutMs);
+	const prompt = wire.readPrompt(req.headers);
+	return {
+		requestId: head.requestId,
+		team: team ?? OPEN_TEAM,
+		service,
+		serviceConfig: {
+			kind: route.kind === 'stream' ? 'model' : 'plain', repeat: repeatOf(route), maxRunMs: route.timeoutMs, maxWaitMs: route.timeoutMs, initialCost: 1, maxCost: 1,
+		},
+		mode: route.kind === 'stream' ? 'stream' : 'plain',
+		request: {
+			method: req.method ?? 'GET', path: req.url ?? '/', headers: wire.targetHeaders(req.headers, team), body: body.length > 0 ? body : undefined,
+		},
+		costHint: undefined,
+		prefixHash: undefined,
+		idempotencyKey: undefined,
+		arrivedMs,
+		startByMs: endByMs,
+		route: {
+			name: route.name, maxTargets: route.maxTargets, isResumable: route.isResumable, endByMs, callerWaitsUntilMs, targetLatencyMs: route.targetLatencyMs,
+			...(prompt && {prompt}),
+		},
+	};
+};
--- /dev/null
+++ b/src/runtime/routing/serve-request.ts
@@ -0,0 +1,63 @@
+/** One routed request from its first header to its end. */
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {RefusalError} from '../../core/errors/refusal-error.js';
+import {InternalFault, TooManyRequests} from '../../core/errors/refusals-data.js';
+import {type AttemptContext} from '../entry/attempt-context.js';
+import {runAttempt} from '../entry/attempt-task.js';
+import {createCallerAnswer, type CallerAnswer} from '../entry/caller-answer.js';
+import {readBody} from '../entry/read-body.js';
+import {createJob, routeRequest} from './route-request.js';
+import {type FleetView} from './fleet-view.js';
+import {type CallerWire, type RoutedHead} from './types.js';
+
+/** Retry-After of a team that has too many requests open, in milliseconds. */
+const TOO_MANY_RETRY_MS = 1000;
+
+export type ServeContext = {
+	readonly view: FleetView;
+	readonly wire: CallerWire;
+	readonly attempts: AttemptContext;
+	readonly random: () => number;
+};
+
+const asRefusal = (err: unknown): RefusalError =>
+	err instanceof RefusalError ? err : new RefusalError(InternalFault, {}, err instanceof Error ? {cause: err} : {});
+
+const refuse = (answer: CallerAnswer, req: IncomingMessage, head: RoutedHead, err: unknown, {attempts: {log, metrics}}: ServeContext): void => {
+	const refusal = asRefusal(err);
+	metrics.refusals.inc({reason: refusal.data.name, not_run: String(refusal.notRun)});
+	log.info('request refused', {request_id: head.requestId, reason: refusal.data.name, fault: refusal.message, host: head.host, path: req.url});
+	req.resume();
+	answer.refuse(refusal);
+};
+
+/** Serves one request; never rejects. */
+export const serveRequest = async (req: IncomingMessage, res: ServerResponse, ctx: ServeContext): Promise<void> => {
+	const {view, wire, attempts, random} = ctx;
+	const arrivedMs = attempts.clock.nowMs();
+	const head = wire.readHead(req);
+	const answer = createCallerAnswer(res, head.requestId, {
+		headers: wire.answerHeaders(head.requestId),
+		writeRefusal(response, err) {
+			wire.writeRefusal(response, err, head.requestId);
+		},
+	});
+	attempts.metrics.openRequests.inc();
+	try {
+		const routed = routeRequest(view, head, req.url ?? '/');
+		const body = await readBody(req, attempts.limits);
+		const job = createJob(req, {
+			head, routed, body, arrivedMs,
+		}, {wire, random});
+		if (attempts.gate.queued(job.team) >= attempts.limits.connectionsPerTeam) {
+			throw new RefusalError(TooManyRequests, {limit: attempts.limits.connectionsPerTeam}, {retryAfterMs: TOO_MANY_RETRY_MS});
+		}
+
+		attempts.gate.requeue(job.team);
+		await runAttempt(job, answer, attempts);
+	} catch (error) {
+		refuse(answer, req, head, error, ctx);
+	} finally {
+		attempts.metrics.openRequests.dec();
+	}
+};
--- /dev/null
+++ b/src/runtime/routing/start-routing.ts
@@ -0,0 +1,171 @@
+/** The routing path of one VM: callers' server, placement, calls to targets, readiness. */
+import http from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
+import polka from 'polka';
+import {createCostEstimator} from '../../core/admission/cost-estimator.js';
+import {createTeamGate} from '../../core/admission/team-gate.js';
+import {type Clock} from '../../core/clock.js';
+import {createRetryShare} from '../../core/placement/retry-share.js';
+import {noClaims} from '../claims/no-claims.js';
+import {type AttemptContext} from '../entry/attempt-context.js';
+import {listen} from '../entry/listen.js';
+import {createServerStop} from '../entry/server-stop.js';
+import {createTargetPools} from '../entry/target-pools.js';
+import {type EntryLimits} from '../entry/types.js';
+import {type Log} from '../observe/log.js';
+import {type Metrics} from '../observe/metrics.js';
+import {createFleetView} from './fleet-view.js';
+import {createPlacementScheduler} from './placement-scheduler.js';
+import {createRelayCalls} from './relay-call.js';
+import {serveRequest, type ServeContext} from './serve-request.js';
+import {
+	type CallerWire, type FleetSource, type RoutingBounds, type TargetWire,
+} from './types.js';
+
+/** Milliseconds for which a leaving VM still takes new connections: the balancer needs two checks, a second apart, to notice. */
+const LEAVE_NOTICE_MS = 2500;
+/** Milliseconds kept of the grace period for the end of the process itself. */
+const END_MARGIN_MS = 500;
+/** How often the server looks for requests that arrive too slowly. */
+const SLOW_CHECK_MS = 500;
+/** Part of a target's connections that all VMs together use. */
+const CONNECTION_SHARE = 0.9;
+/** Connections to one target of an unknown service. */
+const DEFAULT_CONNECTIONS = 32;
+
+type Address = {readonly host: string; readonly port: number};
+
+export type RoutingOptions = {
+	readonly vm: string;
+	readonly dataCentre: string;
+	readonly callers: Address;
+	readonly ready: Address & {readonly path: string};
+	readonly metricsAddress: Address;
+	readonly limits: EntryLimits;
+	readonly bounds: RoutingBounds;
+	readonly callerWire: CallerWire;
+	readonly targetWire: TargetWire;
+	readonly source: FleetSource;
+	readonly vms: () => readonly string[];
+	readonly clock: Clock;
+	readonly random: () => number;
+	readonly metrics: Metrics;
+	readonly log: Log;
+};
+
+export type Routing = {
+	/** Graceful stop within the grace period. */
+	readonly stop: () => Promise<void>;
+};
+
+const createCallersServer = ({limits}: RoutingOptions): http.Server => http.createServer({
+	maxHeaderSize: limits.headerBytes * 2,
+	headersTimeout: limits.readTimeoutMs,
+	requestTimeout: limits.readTimeoutMs * 2,
+	connectionsCheckingInterval: SLOW_CHECK_MS,
+	noDelay: true,
+});
+
+const startStatus = async ({ready, metricsAddress, metrics}: RoutingOptions, isReady: () => boolean): Promise<readonly http.Server[]> => {
+	const readyServer = http.createServer();
+	const metricsServer = http.createServer();
+	readyServer.on('request', polka({server: readyServer})
+		.get(ready.path, (_req, res) => {
+			res.writeHead(isReady() ? 200 : 503, {'content-length': '0'}).end();
+		})
+		.handler);
+	metricsServer.on('request', polka({server: metricsServer})
+		.get('/metrics', async (_req, res) => {
+			res.writeHead(200, {'content-type': metrics.registry.contentType}).end(await metrics.registry.metrics());
+		})
+		.handler);
+	await Promise.all([listen(readyServer, ready), listen(metricsServer, metricsAddress)]);
+	return [readyServer, metricsServer];
+};
+
+/** Starts the path; it is ready once the source has given a configuration and targets. */
+export const startRouting = async (options: RoutingOptions): Promise<Routing> => {
+	const {
+		vm, dataCentre, bounds, callerWire, targetWire, source, vms, clock, random, metrics, log, limits,
+	} = options;
+	const view = createFleetView(log);
+	const scheduler = createPlacementScheduler({
+		vm, dataCentre, bounds, clock, view, vms, log,
+	});
+	const serviceAt = (address: string) => [...view.targets().values()].find(target => target.address === address)?.service;
+	const pools = createTargetPools(address => serviceAt(address) !== undefined, {
+		connections(address) {
+			const service = view.inForce()?.config.services.get(serviceAt(address) ?? '');
+			return service ? Math.max(2, Math.floor(service.maxConnections * CONNECTION_SHARE / vms().length)) : DEFAULT_CONNECTIONS;
+		},
+		onUnreachable(address) {
+			scheduler.onUnreachable(address);
+		},
+	});
+	const attempts: AttemptContext = {
+		config: () => undefined,
+		scheduler,
+		clock,
+		random,
+		metrics,
+		log,
+		limits,
+		claims: noClaims,
+		pools,
+		gate: createTeamGate(),
+		retryBudget: createRetryShare(bounds, () => vms().length),
+		estimator: createCostEstimator(),
+		createCalls: createRelayCalls({
+			wire: targetWire, pool: address => pools.get(address), clock, log,
+			observe(grant, observation) {
+				scheduler.observe?.(grant, observation);
+			},
+		}),
+	};
+	const ctx: ServeContext = {
+		view, wire: callerWire, attempts, random,
+	};
+	const server = createCallersServer(options);
+	const serverStop = createServerStop(server, limits.readTimeoutMs);
+	let isLeaving = false;
+	let wasReady = false;
+	server.on('request', (req, res) => {
+		void serveRequest(req, res, ctx);
+	});
+
+	const isReady = () => !isLeaving && view.isComplete();
+	const statusServers = await startStatus(options, isReady);
+	const address = await listen(server, options.callers);
+	log.info('started', {vm, data_centre: dataCentre, callers: address});
+	source.start(news => {
+		for (const change of view.apply(news)) {
+			scheduler.onNews(change);
+			if (change.kind === 'config') {
+				server.keepAliveTimeout = change.config.limits.idleTimeoutMs;
+			}
+		}
+
+		if (!wasReady && isReady()) {
+			wasReady = true;
+			log.info('ready', {config_version: view.inForce()?.config.version, targets: view.targets().size});
+		}
+	});
+
+	return {
+		async stop() {
+			isLeaving = true;
+			log.info('leaving', {grace_ms: bounds.graceMs});
+			serverStop.leave();
+			const endByMs = clock.nowMs() + bounds.graceMs - END_MARGIN_MS;
+			await delay(Math.min(LEAVE_NOTICE_MS, bounds.graceMs / 2));
+			await Promise.race([serverStop.stop(), delay(Math.max(0, endByMs - clock.nowMs()))]);
+			log.info('stopped');
+			await source.stop();
+			scheduler.stop();
+			await pools.close();
+			for (const status of statusServers) {
+				status.close();
+			}
+		},
+	};
+};
--- /dev/null
+++ b/src/runtime/routing/types.ts
@@ -0,0 +1,72 @@
+/** Ports of the routing path: what an interface to callers and targets has to translate. */
+import {type IncomingHttpHeaders, type IncomingMessage, type ServerResponse} from 'node:http';
+import {type ReportedLoad} from '../../core/dispatch/types.js';
+import {type RefusalError} from '../../core/errors/refusal-error.js';
+import {type FleetBounds} from '../../core/placement/types.js';
+import {type FleetNews, type Route, type RoutingConfig} from '../../core/routing/types.js';
+import {type Headers, type Job, type TargetRequest} from '../entry/job.js';
+
+/** A caller's request before its body has been read. */
+export type RoutedHead = {
+	readonly requestId: string;
+	readonly host: string;
+	/** Key that names the team, if one was sent. */
+	readonly key: string | undefined;
+	/** Milliseconds for which the caller waits, if it says so. */
+	readonly waitsMs: number | undefined;
+};
+
+/** The prompt facts of a request, as the caller states them. */
+export type PromptHead = NonNullable<Job['route']>['prompt'];
+
+/** Translates between callers and the product. */
+export type CallerWire = {
+	readonly readHead: (req: IncomingMessage) => RoutedHead;
+	readonly readPrompt: (headers: IncomingHttpHeaders) => PromptHead;
+	/** Headers that go on to the target, with the team's name. */
+	readonly targetHeaders: (headers: IncomingHttpHeaders, team: string | undefined) => Headers;
+	/** Added to every answer of the router itself. */
+	readonly answerHeaders: (requestId: string) => Headers;
+	readonly writeRefusal: (res: ServerResponse, err: RefusalError, requestId: string) => void;
+};
+
+/**
+ * What a target's answer is, by status and headers. Nothing ran for `declined` and
+ * `misdirected`; `crossed` belongs to another request; `error` is a failure of the
+ * target's own.
+ */
+export type TargetAnswerKind = 'answer' | 'error' | 'declined' | 'misdirected' | 'crossed';
+
+/** Translates between the product and targets. */
+export type TargetWire = {
+	/** The request as it is sent to one process of a target. */
+	readonly request: (request: TargetRequest, to: {
+		readonly instance: string;
+		/** Milliseconds that the caller still waits. */
+		readonly waitsMs: number;
+		/** Last event that the caller has, when a stream goes on. */
+		readonly afterEvent: string | undefined;
+	}) => TargetRequest;
+	readonly classify: (requestId: string, status: number, headers: IncomingHttpHeaders) => TargetAnswerKind;
+	readonly load: (headers: IncomingHttpHeaders) => ReportedLoad | undefined;
+	/** Headers of the answer that go on to the caller. */
+	readonly callerHeaders: (headers: IncomingHttpHeaders) => Headers;
+};
+
+/** Where news of the fleet comes from. */
+export type FleetSource = {
+	readonly start: (listener: (news: FleetNews) => void) => void;
+	readonly stop: () => Promise<void>;
+};
+
+/** A request with the route that it takes. */
+export type Routed = {
+	readonly route: Route;
+	readonly config: RoutingConfig;
+	readonly team: string | undefined;
+};
+
+export type RoutingBounds = FleetBounds & {
+	/** Milliseconds from a stop signal within which the process must have ended. */
+	readonly graceMs: number;
+};
