Exchange load reports between VMs; equal shares of teams over all VMs; copies of kept prompts

Ruled out: order within a VM alone (earliest target first, look-ahead: FAIR still broken), start share 0.4 and 0.75, running share 0.65 and 1.

--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -71,6 +71,8 @@
 	readonly instance: string;
 	/** Reading of the VM's monotonic clock after which the request may not start. */
 	readonly expiresAtMs: number;
+	/** `host:port` of a target that keeps more of the prompt and can pass it on. */
+	readonly copyPromptFrom?: string;
 };
 
 /**
--- /dev/null
+++ b/src/core/placement/fleet-loads.ts
@@ -0,0 +1,120 @@
+/** What the other VMs report of their requests, summed as reports come and lapse. */
+import {decayUse} from './team-use.js';
+
+/** Milliseconds for which a report counts; a few reports may be lost on the way. */
+const REPORT_VALID_MS = 1500;
+
+/** A VM's requests at one target that have not ended. */
+export type TargetLoad = {
+	readonly target: string;
+	readonly running: number;
+	/** Prompt tokens that the target has not read yet. */
+	readonly readingTokens: number;
+	/** Tokens that it keeps for the requests. */
+	readonly heldTokens: number;
+};
+
+/** What a VM's requests of one team received and wait for. */
+export type TeamLoad = {
+	readonly service: string;
+	readonly team: string;
+	/** Cost of the requests that were started, older ones counting less. */
+	readonly use: number;
+	readonly waits: boolean;
+};
+
+export type VmLoads = {
+	readonly vm: string;
+	readonly incarnation: string;
+	readonly sequence: number;
+	readonly targets: readonly TargetLoad[];
+	readonly teams: readonly TeamLoad[];
+};
+
+type Report = {readonly loads: VmLoads; readonly atMs: number};
+type Sum = Omit<TargetLoad, 'target'>;
+
+const NOTHING: Sum = {running: 0, readingTokens: 0, heldTokens: 0};
+
+export class FleetLoads {
+	readonly #reports = new Map<string, Report>();
+	readonly #sums = new Map<string, Sum>();
+
+	/** Takes in a report; one that is older than the last is ignored. */
+	take(loads: VmLoads, nowMs: number): void {
+		const known = this.#reports.get(loads.vm);
+		if (known && known.loads.incarnation === loads.incarnation && loads.sequence <= known.loads.sequence) {
+			return;
+		}
+
+		this.#forget(loads.vm);
+		this.#reports.set(loads.vm, {loads, atMs: nowMs});
+		for (const load of loads.targets) {
+			this.#add(load, 1);
+		}
+	}
+
+	/** Drops reports that no longer count. */
+	expire(nowMs: number): void {
+		for (const [vm, {atMs}] of this.#reports) {
+			if (nowMs - atMs > REPORT_VALID_MS) {
+				this.#forget(vm);
+			}
+		}
+	}
+
+	/** VMs whose reports count. */
+	get heard(): number {
+		return this.#reports.size;
+	}
+
+	/** All other VMs' requests at a target. */
+	at(target: string): Sum {
+		return this.#sums.get(target) ?? NOTHING;
+	}
+
+	/** What a team received through the other VMs. */
+	use(service: string, team: string, nowMs: number): number {
+		let use = 0;
+		for (const {loads, atMs} of this.#reports.values()) {
+			for (const load of loads.teams) {
+				if (load.service === service && load.team === team) {
+					use += decayUse(load.use, nowMs - atMs);
+				}
+			}
+		}
+
+		return use;
+	}
+
+	/** Teams whose requests wait at other VMs. */
+	waitingElsewhere(service: string): ReadonlySet<string> {
+		const teams = new Set<string>();
+		for (const {loads} of this.#reports.values()) {
+			for (const load of loads.teams) {
+				if (load.waits && load.service === service) {
+					teams.add(load.team);
+				}
+			}
+		}
+
+		return teams;
+	}
+
+	#forget(vm: string): void {
+		const report = this.#reports.get(vm);
+		this.#reports.delete(vm);
+		for (const load of report?.loads.targets ?? []) {
+			this.#add(load, -1);
+		}
+	}
+
+	#add({target, running, readingTokens, heldTokens}: TargetLoad, sign: 1 | -1): void {
+		const sum = this.at(target);
+		this.#sums.set(target, {
+			running: sum.running + (sign * running),
+			readingTokens: sum.readingTokens + (sign * readingTokens),
+			heldTokens: sum.heldTokens + (sign * heldTokens),
+		});
+	}
+}
--- a/src/core/placement/messages.ts
+++ b/src/core/placement/messages.ts
@@ -31,4 +31,6 @@
 	readonly othersRunning: number;
 	readonly isCold: boolean;
 	readonly waitedMs: number;
+	/** Target that passes on the prompt parts that it keeps. */
+	readonly copyFrom: TargetRecord | undefined;
 };
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -36,6 +36,8 @@
 	readonly slots: number;
 	/** Tokens that fit into its KV cache. */
 	readonly kvCapacityTokens: number;
+	/** Whether engines can copy kept prompt parts from each other. */
+	readonly canCopyPrompts: boolean;
 };
 
 export type RoutedService = {
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -4,6 +4,7 @@
 import {RefusalError} from '../../core/errors/refusal-error.js';
 import {DeadlinePassed, NoTarget} from '../../core/errors/refusals-data.js';
 import {type PlacementEffect, type PlacementMessage} from '../../core/placement/messages.js';
+import {type FleetLoads, type TargetLoad, type TeamLoad} from '../../core/placement/fleet-loads.js';
 import {ServicePlacement} from '../../core/placement/service-placement.js';
 import {type FleetBounds, type PlacedAsk} from '../../core/placement/types.js';
 import {type FleetNews} from '../../core/routing/types.js';
@@ -26,12 +27,16 @@
 	/** Names of the VMs of the fleet, this one included. */
 	readonly vms: () => readonly string[];
 	readonly log: Log;
+	readonly loads: FleetLoads;
 };
 
 export type PlacementScheduler = Scheduler & {
 	readonly onNews: (news: FleetNews) => void;
 	readonly onUnreachable: (address: string) => void;
 	readonly stop: () => void;
+	/** What this VM reports to the others. */
+	readonly targetLoads: () => readonly TargetLoad[];
+	readonly teamLoads: () => readonly TeamLoad[];
 	/** Asks that wait, by service. */
 	readonly waiting: () => ReadonlyMap<string, number>;
 };
@@ -41,7 +46,7 @@
 	readonly reject: (err: RefusalError) => void;
 };
 
-export const createPlacementScheduler = ({vm, dataCentre, bounds, clock, view, vms, log}: PlacementSchedulerOptions): PlacementScheduler => {
+export const createPlacementScheduler = ({vm, dataCentre, bounds, clock, view, vms, log, loads}: PlacementSchedulerOptions): PlacementScheduler => {
 	const placements = new Map<string, ServicePlacement>();
 	const waiters = new Map<string, Waiter>();
 	const serviceOfGrant = new Map<string, string>();
@@ -61,11 +66,12 @@
 			const {target, grantId, because} = effect;
 			log.info('request placed', {
 				request_id: effect.ask.requestId, service, target: target.id, predicted_ms: Math.round(because.predictedMs), kept_tokens: because.keptTokens,
-				running: because.running, others: because.othersRunning, cold: because.isCold, waited_ms: Math.round(because.waitedMs),
+				running: because.running, others: because.othersRunning, cold: because.isCold, copy_from: because.copyFrom?.id, waited_ms: Math.round(because.waitedMs),
 			});
 			serviceOfGrant.set(grantId, service);
 			waiter?.resolve({
 				grantId, target: target.id, address: target.address, epoch: 0n, instance: target.id, expiresAtMs: clock.nowMs() + GRANT_MS,
+				...(because.copyFrom && {copyPromptFrom: because.copyFrom.address}),
 			});
 		}
 	};
@@ -102,7 +108,7 @@
 			}
 
 			placements.set(service.name, new ServicePlacement({
-				service, bounds, vm, vms, dataCentre, createGrantId: () => `${vm}-${++grants}`,
+				service, bounds, vm, vms, dataCentre, fleet: loads, createGrantId: () => `${vm}-${++grants}`,
 			}));
 			tell(service.name, {kind: 'data-centres-out', names: view.outNames()});
 			for (const target of view.targets().values()) {
@@ -187,6 +193,8 @@
 		stop() {
 			clearTimeout(timer);
 		},
+		targetLoads: () => [...placements.values()].flatMap(placement => placement.targetLoads()),
+		teamLoads: () => [...placements.values()].flatMap(placement => placement.teamLoads(clock.nowMs())),
 		waiting: () => new Map([...placements].map(([service, placement]) => [service, placement.waiting])),
 	};
 };
--- a/src/runtime/routing/relay-call.ts
+++ b/src/runtime/routing/relay-call.ts
@@ -70,6 +70,7 @@
 			instance: grant.instance,
 			waitsMs: Math.max(1, Math.floor((job.route?.callerWaitsUntilMs ?? Infinity) - clock.nowMs())),
 			afterEvent: hasBegun ? events.lastId() : undefined,
+			copyPromptFrom: grant.copyPromptFrom,
 		});
 		this.#call = callTarget(pool(grant.address), request, {
 			onWriting: () => this.#open && mayWrite(),
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -14,7 +14,9 @@
 import {type EntryLimits} from '../entry/types.js';
 import {type Log} from '../observe/log.js';
 import {type Metrics} from '../observe/metrics.js';
+import {FleetLoads} from '../../core/placement/fleet-loads.js';
 import {createFleetView} from './fleet-view.js';
+import {startLoadExchange} from './load-exchange.js';
 import {createPlacementScheduler} from './placement-scheduler.js';
 import {createRelayCalls} from './relay-call.js';
 import {serveRequest, type ServeContext} from './serve-request.js';
@@ -38,6 +40,12 @@
 export type RoutingOptions = {
 	readonly vm: string;
 	readonly dataCentre: string;
+	/** Differs after each restart of the process. */
+	readonly incarnation: string;
+	/** Where load reports of the other VMs arrive. */
+	readonly exchange: Address;
+	/** Where the other VMs listen for load reports. */
+	readonly peers: () => readonly Address[];
 	readonly callers: Address;
 	readonly ready: Address & {readonly path: string};
 	readonly metricsAddress: Address;
@@ -86,11 +94,16 @@
 /** Starts the path; it is ready once the source has given a configuration and targets. */
 export const startRouting = async (options: RoutingOptions): Promise<Routing> => {
 	const {
-		vm, dataCentre, bounds, callerWire, targetWire, source, vms, clock, random, metrics, log, limits,
+		vm, dataCentre, incarnation, bounds, callerWire, targetWire, source, vms, clock, random, metrics, log, limits,
 	} = options;
 	const view = createFleetView(log);
+	const loads = new FleetLoads();
 	const scheduler = createPlacementScheduler({
-		vm, dataCentre, bounds, clock, view, vms, log,
+		vm, dataCentre, bounds, clock, view, vms, log, loads,
+	});
+	const exchange = await startLoadExchange({
+		vm, incarnation, listen: options.exchange, clock, log, loads,
+		peers: options.peers, targets: scheduler.targetLoads, teams: scheduler.teamLoads,
 	});
 	const serviceAt = (address: string) => [...view.targets().values()].find(target => target.address === address)?.service;
 	const pools = createTargetPools(address => serviceAt(address) !== undefined, {
@@ -162,6 +175,7 @@
 			log.info('stopped');
 			await source.stop();
 			scheduler.stop();
+			exchange.close();
 			await pools.close();
 			for (const status of statusServers) {
 				status.close();
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -46,6 +46,8 @@
 		readonly waitsMs: number;
 		/** Last event that the caller has, when a stream goes on. */
 		readonly afterEvent: string | undefined;
+		/** `host:port` of a target that passes on prompt parts. */
+		readonly copyPromptFrom: string | undefined;
 	}) => TargetRequest;
 	readonly classify: (requestId: string, status: number, headers: IncomingHttpHeaders) => TargetAnswerKind;
 	readonly load: (headers: IncomingHttpHeaders) => ReportedLoad | undefined;
