Rounds while something waits; resets of answers without a length; silent and doubtful targets

Ruled out: late notice of a caller that leaves (its close arrived late because the process was busy).

--- a/src/core/attempt/attempt.ts
+++ b/src/core/attempt/attempt.ts
@@ -153,6 +153,14 @@
 		: end(state, 'answered', [...before, ...(state.callerLeft ? [] : [{kind: 'deliver-error'} as const])]);
 };
 
+/** Another target is tried while one is silent, if the request may be repeated; else there is nothing better than to wait. */
+const onSilent = (state: AttemptState, spec: AttemptSpec, nowMs: number): AttemptStep => {
+	const mayRepeat = state.kind === 'sent' && spec.repeat === 'safe' && !state.callerLeft && hasTargetLeft(state, spec) && spec.takeRetry(nowMs);
+	return mayRepeat
+		? askAgain('silent', [{kind: 'abandon-call'}, ...endGrant(state, nowMs, {kind: 'failed', cost: 0})])({...state, mayHaveRun: true}, spec, nowMs)
+		: stay(state);
+};
+
 const brokenRefusal = (state: AttemptState, spec: AttemptSpec, reason: string): RefusalError => {
 	const data: RefusalData = spec.repeat === 'never' ? OutcomeUnknown : AnswerBroken;
 	return new RefusalError(data, {reason: state.delivering ? `${reason} in mid-answer` : reason});
@@ -266,6 +274,10 @@
 			return onFailed(state, message, spec, nowMs);
 		}
 
+		case 'silent': {
+			return onSilent(state, spec, nowMs);
+		}
+
 		case 'error-answer': {
 			return onErrorAnswer(state, message, spec, nowMs);
 		}
--- a/src/core/attempt/types.ts
+++ b/src/core/attempt/types.ts
@@ -25,7 +25,7 @@
 };
 
 /** Why a request is asked for again. */
-export type RetryReason = 'overloaded' | 'fenced' | 'not-connected' | 'grant-expired' | 'failed' | 'error-answer';
+export type RetryReason = 'overloaded' | 'fenced' | 'not-connected' | 'grant-expired' | 'failed' | 'silent' | 'error-answer';
 
 /** Why an answer of a target was not used. */
 export type FaultReason = 'link-broken' | 'unidentified' | 'crossed' | 'malformed' | 'stalled' | 'too-large' | 'error-answer';
@@ -63,6 +63,8 @@
 	| {readonly kind: 'answered'; readonly cost: number; readonly instance?: string}
 	/** The call ended without a usable answer. Cost is that of what arrived. */
 	| {readonly kind: 'failed'; readonly reason: FaultReason; readonly cost: number; readonly instance?: string}
+	/** The target has not begun to answer for longer than usual. */
+	| {readonly kind: 'silent'}
 	/** The target answered whole, but with a failure of its own that may pass. */
 	| {readonly kind: 'error-answer'; readonly instance?: string}
 	| {readonly kind: 'run-timeout'; readonly limitMs: number; readonly cost: number}
--- a/src/core/placement/placed-target.ts
+++ b/src/core/placement/placed-target.ts
@@ -93,6 +93,11 @@
 		return this.#unconfirmed > 0 || nowMs < this.#coldUntilMs;
 	}
 
+	/** Whether its connections broke and no heartbeat has shown since that it lives. */
+	get isDoubtful(): boolean {
+		return this.#unconfirmed > 0;
+	}
+
 	/** Whether a cold target may get one more request, of `limit` in a second. */
 	hasColdRoom(limit: number, nowMs: number): boolean {
 		return this.#coldGate.isOpen(limit, nowMs);
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -1,37 +1,25 @@
 /**
  * Places the requests of one service on its targets. Every VM decides alone, on what it
- * sent itself and what answers report; a hash of the shared prompt parts lets all VMs
- * choose the same target for equal prompts without messages. Requests that no target
- * can start in time wait, in the order of their teams' shares.
+ * sent itself, what the other VMs report and what answers tell. Requests that no target
+ * can start in time wait; the team that received least lately goes first, here and
+ * before teams of other VMs that received more.
  */
 import {hash32} from '../membership/rendezvous.js';
 import {type RoutedService, type TargetRecord} from '../routing/types.js';
 import {type FleetLoads, type TargetLoad, type TeamLoad} from './fleet-loads.js';
-import {type PlacementEffect, type PlacementMessage, type PlacementReason} from './messages.js';
+import {type PlacementEffect, type PlacementMessage} from './messages.js';
 import {PlacedTarget} from './placed-target.js';
-import {createPromptRecord, sharedKeys, type PromptRecord} from './prompt-record.js';
+import {createPromptRecord, type PromptRecord} from './prompt-record.js';
 import {createReadRate, type ReadRate} from './read-rate.js';
+import {
+	chooseTarget, hasTargetLeft, type Candidate, type ChoiceContext,
+} from './target-choice.js';
+import {TeamQueues} from './team-queues.js';
 import {createTeamUse, type TeamUse} from './team-use.js';
 import {type FleetBounds, type PlacedAsk} from './types.js';
 
-/** Part of the target latency within which the first token is predicted; the rest is for the way and for errors of the prediction. */
-const START_SHARE = 0.55;
-/** Part of the target latency that others' prompts may take ahead of one that cannot be in time by itself. */
-const LARGE_BACKLOG_SHARE = 0.03;
 /** Part of the target latency for which a request waits before it is refused. */
 const WAIT_SHARE = 0.6;
-/** Part of a model engine's memory that is planned with, since output lengths are only hints. */
-const MEMORY_SHARE = 0.85;
-/** Milliseconds that one more running request costs the others, as a price when targets are compared. */
-const RUNNING_PRICE_MS = 2;
-/** Milliseconds that another data centre costs, as a price when targets are compared. */
-const OTHER_DATA_CENTRE_PRICE_MS = 3;
-/** Milliseconds that copying kept prompt parts costs, as a price: each copy takes memory from other prompts. */
-const COPY_PRICE_MS = 60;
-/** Prompt tokens below which a copy is not worth its call. */
-const MIN_COPY_TOKENS = 500;
-/** Largest part of the slots that model requests of all VMs together take. Beyond it tokens come too slowly for long answers to end in time. */
-const RUNNING_SHARE = 0.75;
 /** Asks of one team that are looked at in one round; the first that can start does. */
 const LOOK_AHEAD = 4;
 /** Milliseconds after which a waiting team is reported to the other VMs. */
@@ -39,19 +27,14 @@
 /** How far a team may be ahead of one that waits elsewhere: a factor on its use, and average requests. Reports are some hundred milliseconds old, so a smaller lead would leave capacity idle. */
 const LEAD_FACTOR = 1.25;
 const LEAD_REQUESTS = 2;
-/** Largest part of the targets that is passed over after failures; more would crowd the rest. */
-const MAX_PASSED_OVER_SHARE = 0.34;
 /** Retry-After bounds in milliseconds. */
 const MIN_RETRY_AFTER_MS = 300;
 const MAX_RETRY_AFTER_MS = 2000;
 /** What is told when no target is known. */
 const NO_TARGET_RETRY_AFTER_MS = 1000;
-/** Weight of one request in the average of tokens to read. */
+/** Weight of one request in averages. */
 const AVERAGE_WEIGHT = 0.05;
 
-/** Cost of a request for its team's share: a token read counts once, a token generated twice. */
-const costOf = ({prompt}: PlacedAsk): number => prompt ? prompt.tokens + (2 * prompt.outputTokens) : 1;
-
 type Message<Kind extends PlacementMessage['kind']> = Extract<PlacementMessage, {kind: Kind}>;
 
 export type ServicePlacementOptions = {
@@ -66,28 +49,20 @@
 	readonly fleet: FleetLoads;
 };
 
-type Candidate = {
-	readonly target: PlacedTarget;
-	readonly newTokens: number;
-	readonly reason: PlacementReason;
-	readonly price: number;
-};
-
-/** A target that keeps shared parts of a prompt. */
-type Keeper = {
-	readonly target: PlacedTarget;
-	readonly tokens: number;
-};
+/** Cost of a request for its team's share: a token read counts once, a token generated twice. */
+const costOf = ({prompt}: PlacedAsk): number => prompt ? prompt.tokens + (2 * prompt.outputTokens) : 1;
 
 export class ServicePlacement {
 	#service: RoutedService;
 	readonly #options: ServicePlacementOptions;
 	readonly #targets = new Map<string, PlacedTarget>();
-	readonly #waiting = new Map<string, PlacedAsk[]>();
+	readonly #queues = new TeamQueues();
 	readonly #use: TeamUse = createTeamUse();
 	readonly #prompts: PromptRecord = createPromptRecord();
 	readonly #readRate: ReadRate = createReadRate();
 	#out: ReadonlySet<string> = new Set();
+	#homes: readonly PlacedTarget[] = [];
+	#homeOfPrompt = new Map<string, PlacedTarget>();
 	#averageNewTokens = 0;
 	#averageCost = 0;
 
@@ -98,7 +73,7 @@
 
 	/** Asks that wait. */
 	get waiting(): number {
-		return [...this.#waiting.values()].reduce((sum, asks) => sum + asks.length, 0);
+		return this.#queues.size;
 	}
 
 	/** What this VM reports of its requests at each target. */
@@ -110,7 +85,7 @@
 
 	/** What this VM reports of its teams. */
 	teamLoads(nowMs: number): readonly TeamLoad[] {
-		const teams = new Set([...this.#use.teams(nowMs), ...this.#waiting.keys()]);
+		const teams = new Set([...this.#use.teams(nowMs), ...this.#queues.teams()]);
 		return [...teams].map(team => ({
 			service: this.#service.name, team, use: this.#use.of(team, nowMs), waits: this.#hasWaited(team, nowMs),
 		}));
@@ -120,6 +95,7 @@
 		return [...this.#targets.values()];
 	}
 
+	/** Handles one message. Asks that have to wait start at a later `tick`. */
 	handle(message: PlacementMessage, nowMs: number): readonly PlacementEffect[] {
 		switch (message.kind) {
 			case 'service': {
@@ -129,7 +105,7 @@
 
 			case 'target': {
 				this.#onTarget(message.target, nowMs);
-				return this.#dispatch(nowMs);
+				return [];
 			}
 
 			case 'target-gone': {
@@ -148,18 +124,18 @@
 			}
 
 			case 'withdraw': {
-				this.#withdraw(message.requestId);
+				this.#queues.remove(ask => ask.requestId === message.requestId);
 				return [];
 			}
 
 			case 'end': {
 				this.#onEnd(message, nowMs);
-				return this.#dispatch(nowMs);
+				return [];
 			}
 
 			case 'observe': {
 				this.#onObserve(message, nowMs);
-				return this.#dispatch(nowMs);
+				return [];
 			}
 
 			case 'unreachable': {
@@ -168,7 +144,7 @@
 			}
 
 			case 'tick': {
-				return [...this.#expire(nowMs), ...this.#dispatch(nowMs)];
+				return this.#queues.isEmpty ? [] : [...this.#expire(nowMs), ...this.#dispatch(nowMs)];
 			}
 		}
 	}
@@ -182,36 +158,22 @@
 		}
 	}
 
+	/** Starts the ask at once when nothing waits, else lets it wait for its turn. */
 	#onAsk(ask: PlacedAsk, nowMs: number): readonly PlacementEffect[] {
-		if (this.#usable(ask, nowMs).length === 0) {
+		const ctx = this.#context(nowMs);
+		if (!hasTargetLeft(ask, ctx)) {
 			return [{kind: 'reject', ask, reason: 'no-target', retryAfterMs: NO_TARGET_RETRY_AFTER_MS}];
 		}
 
-		const queue = this.#waiting.get(ask.team);
-		if (queue) {
-			// Earliest latency target first.
-			const index = queue.findIndex(other => other.arrivedMs + other.targetLatencyMs > ask.arrivedMs + ask.targetLatencyMs);
-			queue.splice(index === -1 ? queue.length : index, 0, ask);
-		} else {
-			this.#waiting.set(ask.team, [ask]);
-		}
-
-		return this.#dispatch(nowMs);
-	}
-
-	#withdraw(requestId: string): void {
-		for (const [team, queue] of this.#waiting) {
-			const rest = queue.filter(ask => ask.requestId !== requestId);
-			this.#setQueue(team, rest);
+		if (this.#queues.isEmpty && this.#useOf(ask.team, nowMs) <= this.#useCeiling(nowMs)) {
+			const candidate = chooseTarget(ask, ctx);
+			if (candidate) {
+				return [this.#grant(ask, candidate, nowMs)];
+			}
 		}
-	}
 
-	#setQueue(team: string, queue: PlacedAsk[]): void {
-		if (queue.length === 0) {
-			this.#waiting.delete(team);
-		} else {
-			this.#waiting.set(team, queue);
-		}
+		this.#queues.add(ask);
+		return [];
 	}
 
 	#onEnd({grantId, target: id, result}: Message<'end'>, nowMs: number): void {
@@ -271,140 +233,68 @@
 		return before < total ? 1 : 0;
 	}
 
-	#isUsable(target: PlacedTarget, ask: PlacedAsk, nowMs: number): boolean {
-		const {record} = target;
-		return !record.isDraining && !target.isMisdirected && !this.#out.has(record.dataCentre) && !ask.tried.includes(record.id)
-			&& (!target.isCold(nowMs) || this.#service.coldPerS === 0 || target.hasColdRoom(this.#coldLimit(record.id), nowMs));
-	}
-
-	#usable(ask: PlacedAsk, nowMs: number): readonly PlacedTarget[] {
-		const all = this.targets().filter(target => !target.record.isDraining && !target.isMisdirected && !this.#out.has(target.record.dataCentre));
-		const untried = all.filter(({record}) => !ask.tried.includes(record.id));
-		const failing = untried.filter(target => target.isPassedOver(nowMs)).toSorted((a, b) => b.failuresInRow - a.failuresInRow);
-		const passedOver = new Set(failing.slice(0, Math.floor(untried.length * MAX_PASSED_OVER_SHARE)));
-		return untried.filter(target => !passedOver.has(target));
-	}
-
-	/** Memory and slots bound what a model engine takes; a plain target takes what it has slots for. */
-	#hasRoom(target: PlacedTarget, ask: PlacedAsk, nowMs: number): boolean {
-		const others = this.#othersAt(target, nowMs).running;
-		const {engine} = this.#service;
-		if (!ask.prompt || !engine) {
-			return target.running + others < target.record.slots * 2;
-		}
-
-		const held = ask.prompt.tokens + ask.prompt.outputTokens;
-		const tokens = target.heldTokens + this.#othersAt(target, nowMs).heldTokens + held;
-		return target.running + others < Math.max(1, engine.slots * RUNNING_SHARE) && (target.running + others === 0 || tokens <= engine.kvCapacityTokens * MEMORY_SHARE);
-	}
-
-	/** Other VMs' requests at a target: as they report, or as its answers tell while VMs are not heard. */
-	#othersAt(target: PlacedTarget, nowMs: number): Omit<TargetLoad, 'target'> {
-		const {fleet, vms} = this.#options;
-		const reported = fleet.at(target.record.id);
-		if (fleet.heard + 1 >= vms().length) {
-			return reported;
+	#context(nowMs: number): ChoiceContext {
+		const {dataCentre, fleet, vms} = this.#options;
+		const targets = this.targets().filter(({record, isMisdirected}) => !record.isDraining && !isMisdirected && !this.#out.has(record.dataCentre));
+		const homes = targets.filter(target => !target.isCold(nowMs));
+		if (homes.length !== this.#homes.length || homes.some((home, index) => home !== this.#homes[index])) {
+			this.#homes = homes;
+			this.#homeOfPrompt = new Map();
 		}
 
-		const running = Math.max(reported.running, target.othersRunning(nowMs));
-		const unheard = running - reported.running;
-		const heldEach = target.running > 0 ? target.heldTokens / target.running : 0;
 		return {
-			running,
-			readingTokens: reported.readingTokens + (Math.min(unheard, target.reportedWaiting(nowMs)) * this.#averageNewTokens),
-			heldTokens: reported.heldTokens + (unheard * heldEach),
+			service: this.#service,
+			dataCentre,
+			targets,
+			homes,
+			homeOfPrompt: this.#homeOfPrompt,
+			prompts: this.#prompts,
+			fleet,
+			hearsFleet: fleet.heard + 1 >= vms().length,
+			tokensPerMs: this.#readRate.tokensPerMs(),
+			averageNewTokens: this.#averageNewTokens,
+			hasColdRoom: target => this.#service.coldPerS === 0 || !target.isCold(nowMs) || target.hasColdRoom(this.#coldLimit(target.record.id), nowMs),
+			nowMs,
 		};
 	}
 
-	#candidate(target: PlacedTarget, ask: PlacedAsk, keeper: Keeper | undefined, nowMs: number): Candidate {
-		const {prompt} = ask;
-		const others = this.#othersAt(target, nowMs);
-		const own = prompt ? this.#prompts.keptTokens(target.record.id, prompt, nowMs) : 0;
-		const isKeeper = keeper?.target === target;
-		const copies = keeper !== undefined && !isKeeper && keeper.tokens >= own + MIN_COPY_TOKENS;
-		const keptTokens = isKeeper || copies ? Math.max(own, keeper.tokens) : own;
-		const newTokens = prompt ? Math.max(0, prompt.tokens - keptTokens) : 0;
-		const backlog = target.readingTokens + others.readingTokens;
-		const predictedMs = (backlog + newTokens) / this.#readRate.tokensPerMs();
-		const isElsewhere = target.record.dataCentre !== this.#options.dataCentre;
-		return {
-			target,
-			newTokens,
-			price: predictedMs + ((target.running + others.running) * RUNNING_PRICE_MS) + (isElsewhere ? OTHER_DATA_CENTRE_PRICE_MS : 0) + (copies ? COPY_PRICE_MS : 0),
-			reason: {
-				predictedMs,
-				keptTokens,
-				running: target.running,
-				othersRunning: others.running,
-				isCold: target.isCold(nowMs),
-				waitedMs: nowMs - ask.arrivedMs,
-				copyFrom: copies ? keeper.target.record : undefined,
-			},
-		};
-	}
-
-	/**
-	 * The target that keeps most of the prompt: by what was sent there, else the home of
-	 * its shared parts, which all VMs choose alike by a hash.
-	 */
-	#keeperOf({prompt}: PlacedAsk, usable: readonly PlacedTarget[], nowMs: number): Keeper | undefined {
-		const key = prompt && sharedKeys(prompt).at(-1);
-		if (!prompt || key === undefined) {
-			return undefined;
-		}
-
-		const warm = usable.filter(target => !target.isCold(nowMs));
-		const home = warm.toSorted((a, b) => hash32(`${key}|${b.record.id}`) - hash32(`${key}|${a.record.id}`))[0];
-		return home && {target: home, tokens: prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)};
-	}
-
-	/** The target at which the request costs least, among those that can start it in time. */
-	#choose(ask: PlacedAsk, nowMs: number): Candidate | undefined {
-		const usable = this.#usable(ask, nowMs);
-		const keeper = this.#service.engine?.canCopyPrompts ? this.#keeperOf(ask, usable, nowMs) : undefined;
-		return usable
-			.filter(target => this.#isUsable(target, ask, nowMs) && this.#hasRoom(target, ask, nowMs))
-			.map(target => this.#candidate(target, ask, keeper, nowMs))
-			.filter(({reason, newTokens}) => this.#startsInTime(ask, reason, newTokens))
-			.toSorted((a, b) => a.price - b.price)[0];
-	}
-
-	/** A large prompt that cannot be in time by itself is started when little is ahead of it, rather than never. */
-	#startsInTime(ask: PlacedAsk, {predictedMs, waitedMs}: PlacementReason, newTokens: number): boolean {
-		const ownMs = newTokens / this.#readRate.tokensPerMs();
-		return waitedMs + predictedMs <= ask.targetLatencyMs * START_SHARE
-			|| predictedMs - ownMs <= Math.min(ask.targetLatencyMs * LARGE_BACKLOG_SHARE, ownMs);
-	}
-
-	/** Starts what can start, the team that is furthest behind first. */
+	/** Starts what can start, the team that received least first. */
 	#dispatch(nowMs: number): readonly PlacementEffect[] {
 		const effects: PlacementEffect[] = [];
-		const blocked = new Set<string>();
-		if (this.#waiting.size === 0) {
-			return effects;
-		}
-
+		const ctx = this.#context(nowMs);
 		const ceiling = this.#useCeiling(nowMs);
-		while (true) {
-			const team = this.#least([...this.#waiting.keys()].filter(name => !blocked.has(name)), nowMs);
-			const queue = team === undefined ? undefined : this.#waiting.get(team);
-			if (team === undefined || !queue || this.#useOf(team, nowMs) > ceiling) {
-				return effects;
-			}
-
-			const start = this.#firstStart(queue, nowMs);
+		const uses = new Map([...this.#queues.teams()].map(team => [team, this.#useOf(team, nowMs)]));
+		while (uses.size > 0) {
+			const [team, use] = [...uses].reduce((least, entry) => entry[1] < least[1] ? entry : least);
+			const start = use <= ceiling && this.#firstStart(team, ctx);
 			if (start) {
-				this.#setQueue(team, queue.filter(ask => ask !== start.ask));
+				this.#queues.removeOf(team, ask => ask === start.ask);
 				effects.push(this.#grant(start.ask, start.candidate, nowMs));
-			} else {
-				blocked.add(team);
+				uses.set(team, use + costOf(start.ask));
+			}
+
+			if (!start || this.#queues.of(team).length === 0) {
+				uses.delete(team);
 			}
 		}
+
+		return effects;
+	}
+
+	#firstStart(team: string, ctx: ChoiceContext): {readonly ask: PlacedAsk; readonly candidate: Candidate} | undefined {
+		for (const ask of this.#queues.of(team).slice(0, LOOK_AHEAD)) {
+			const candidate = chooseTarget(ask, ctx);
+			if (candidate) {
+				return {ask, candidate};
+			}
+		}
+
+		return undefined;
 	}
 
 	/** Whether the team has waited long enough that its wait is no accident of one moment. */
 	#hasWaited(team: string, nowMs: number): boolean {
-		return this.#waiting.get(team)?.some(ask => nowMs - ask.arrivedMs > WAITS_AFTER_MS) ?? false;
+		return this.#queues.of(team).some(ask => nowMs - ask.arrivedMs > WAITS_AFTER_MS);
 	}
 
 	/** What a team received through all VMs. */
@@ -412,20 +302,6 @@
 		return this.#use.of(team, nowMs) + this.#options.fleet.use(this.#service.name, team, nowMs);
 	}
 
-	#least(teams: readonly string[], nowMs: number): string | undefined {
-		let least: string | undefined;
-		let leastUse = Infinity;
-		for (const team of teams) {
-			const use = this.#useOf(team, nowMs);
-			if (use < leastUse) {
-				least = team;
-				leastUse = use;
-			}
-		}
-
-		return least;
-	}
-
 	/** Use beyond which a team lets the teams go first that wait at other VMs. */
 	#useCeiling(nowMs: number): number {
 		const waiting = this.#options.fleet.waitingElsewhere(this.#service.name);
@@ -433,23 +309,11 @@
 		return uses.length === 0 ? Infinity : (Math.min(...uses) * LEAD_FACTOR) + (this.#averageCost * LEAD_REQUESTS);
 	}
 
-	#firstStart(queue: readonly PlacedAsk[], nowMs: number): {readonly ask: PlacedAsk; readonly candidate: Candidate} | undefined {
-		for (const ask of queue.slice(0, LOOK_AHEAD)) {
-			const candidate = this.#choose(ask, nowMs);
-			if (candidate) {
-				return {ask, candidate};
-			}
-		}
-
-		return undefined;
-	}
-
 	#grant(ask: PlacedAsk, {target, newTokens, reason}: Candidate, nowMs: number): PlacementEffect {
 		const grantId = this.#options.createGrantId();
 		const {prompt} = ask;
-		const heldTokens = prompt ? prompt.tokens + prompt.outputTokens : 0;
 		target.place(grantId, {
-			newTokens, heldTokens, isReading: prompt !== undefined, sentMs: nowMs,
+			newTokens, heldTokens: prompt ? prompt.tokens + prompt.outputTokens : 0, isReading: prompt !== undefined, sentMs: nowMs,
 		}, nowMs);
 		if (prompt) {
 			this.#prompts.noteSent(target.record.id, prompt, nowMs);
@@ -465,18 +329,10 @@
 	}
 
 	#expire(nowMs: number): readonly PlacementEffect[] {
-		const effects: PlacementEffect[] = [];
-		for (const [team, queue] of this.#waiting) {
-			const late = queue.filter(ask => nowMs >= Math.min(ask.deadlineMs, ask.arrivedMs + (ask.targetLatencyMs * WAIT_SHARE)));
-			if (late.length > 0) {
-				this.#setQueue(team, queue.filter(ask => !late.includes(ask)));
-				effects.push(...late.map(ask => ({
-					kind: 'reject', ask, reason: 'too-late', retryAfterMs: this.#retryAfterMs(),
-				} as const)));
-			}
-		}
-
-		return effects;
+		const late = this.#queues.remove(ask => nowMs >= Math.min(ask.deadlineMs, ask.arrivedMs + (ask.targetLatencyMs * WAIT_SHARE)));
+		return late.map(ask => ({
+			kind: 'reject', ask, reason: 'too-late', retryAfterMs: this.#retryAfterMs(),
+		}));
 	}
 
 	/** Time until what is being read now has been read, on average over the targets. */
--- /dev/null
+++ b/src/core/placement/target-choice.ts
@@ -0,0 +1,185 @@
+/** Chooses the target at which a request costs least, among those that can start it in time. */
+import {hash32} from '../membership/rendezvous.js';
+import {type RoutedService, type TargetRecord} from '../routing/types.js';
+import {type FleetLoads, type TargetLoad} from './fleet-loads.js';
+import {type PlacementReason} from './messages.js';
+import {type PlacedTarget} from './placed-target.js';
+import {sharedKeys, type PromptRecord} from './prompt-record.js';
+import {type PlacedAsk} from './types.js';
+
+/** Part of the target latency within which the first token is predicted; the rest is for the way and for errors of the prediction. */
+const START_SHARE = 0.55;
+/** Part of the target latency that others' prompts may take ahead of one that cannot be in time by itself. */
+const LARGE_BACKLOG_SHARE = 0.03;
+/** Part of a model engine's memory that is planned with, since output lengths are only hints. */
+const MEMORY_SHARE = 0.85;
+/** Largest part of the slots that model requests of all VMs together take. Beyond it tokens come too slowly for long answers to end in time. */
+const RUNNING_SHARE = 0.75;
+/** Requests that a plain target may have for each slot, the rest waiting there. */
+const PLAIN_PER_SLOT = 2;
+/** Milliseconds that one more running request costs the others, as a price when targets are compared. */
+const RUNNING_PRICE_MS = 2;
+/** Milliseconds that another data centre costs, as a price when targets are compared. */
+const OTHER_DATA_CENTRE_PRICE_MS = 3;
+/** Milliseconds that copying kept prompt parts costs, as a price: each copy takes memory from other prompts. */
+const COPY_PRICE_MS = 60;
+/** Prompt tokens below which a copy is not worth its call. */
+const MIN_COPY_TOKENS = 500;
+/** Milliseconds that a target costs, as a price, while it is not known to be alive. */
+const DOUBT_PRICE_MS = 300;
+/** Largest part of the targets that is passed over after failures; more would crowd the rest. */
+const MAX_PASSED_OVER_SHARE = 0.34;
+
+export type Candidate = {
+	readonly target: PlacedTarget;
+	/** Prompt tokens that the target has to read. */
+	readonly newTokens: number;
+	readonly reason: PlacementReason;
+	/** Milliseconds that the request costs there, with what it costs others. */
+	readonly price: number;
+};
+
+/** A target that keeps shared parts of a prompt. */
+type Keeper = {
+	readonly target: PlacedTarget;
+	readonly tokens: number;
+};
+
+/** What a choice rests on, the same for all asks of one moment. */
+export type ChoiceContext = {
+	readonly service: RoutedService;
+	readonly dataCentre: string;
+	/** Targets that may get requests at all. */
+	readonly targets: readonly PlacedTarget[];
+	/** Targets that are not cold, by which homes of prompts are chosen. */
+	readonly homes: readonly PlacedTarget[];
+	/** Homes of prompts by their shared parts, as long as `homes` stays the same. */
+	readonly homeOfPrompt: Map<string, PlacedTarget>;
+	readonly prompts: PromptRecord;
+	readonly fleet: FleetLoads;
+	/** Whether all other VMs' reports are at hand. */
+	readonly hearsFleet: boolean;
+	readonly tokensPerMs: number;
+	/** Tokens that a request has to read, on average. */
+	readonly averageNewTokens: number;
+	/** Whether a cold target may get one more request. */
+	readonly hasColdRoom: (target: PlacedTarget) => boolean;
+	readonly nowMs: number;
+};
+
+type Load = Omit<TargetLoad, 'target'>;
+
+/** Other VMs' requests at a target: as they report, or as its answers tell while VMs are not heard. */
+const othersAt = (target: PlacedTarget, {fleet, hearsFleet, averageNewTokens, nowMs}: ChoiceContext): Load => {
+	const reported = fleet.at(target.record.id);
+	if (hearsFleet) {
+		return reported;
+	}
+
+	const running = Math.max(reported.running, target.othersRunning(nowMs));
+	const unheard = running - reported.running;
+	const heldEach = target.running > 0 ? target.heldTokens / target.running : 0;
+	return {
+		running,
+		readingTokens: reported.readingTokens + (Math.min(unheard, target.reportedWaiting(nowMs)) * averageNewTokens),
+		heldTokens: reported.heldTokens + (unheard * heldEach),
+	};
+};
+
+/** Memory and slots bound what a model engine takes; slots bound what a plain target takes. */
+const hasRoom = (target: PlacedTarget, others: Load, {prompt}: PlacedAsk, {engine}: RoutedService): boolean => {
+	const running = target.running + others.running;
+	if (!prompt || !engine) {
+		return running < target.record.slots * PLAIN_PER_SLOT;
+	}
+
+	const tokens = target.heldTokens + others.heldTokens + prompt.tokens + prompt.outputTokens;
+	return running < Math.max(1, engine.slots * RUNNING_SHARE) && (running === 0 || tokens <= engine.kvCapacityTokens * MEMORY_SHARE);
+};
+
+/** A large prompt that cannot be in time by itself is started when little is ahead of it, rather than never. */
+const startsInTime = ({targetLatencyMs}: PlacedAsk, {predictedMs, waitedMs}: PlacementReason, ownMs: number): boolean =>
+	waitedMs + predictedMs <= targetLatencyMs * START_SHARE
+	|| predictedMs - ownMs <= Math.min(targetLatencyMs * LARGE_BACKLOG_SHARE, ownMs);
+
+/** The home of a prompt's shared parts, which all VMs choose alike by a hash. */
+const keeperOf = ({prompt}: PlacedAsk, {service, homes, homeOfPrompt}: ChoiceContext): Keeper | undefined => {
+	const key = prompt && sharedKeys(prompt).at(-1);
+	if (!prompt || key === undefined || !service.engine?.canCopyPrompts) {
+		return undefined;
+	}
+
+	let home = homeOfPrompt.get(key);
+	if (!home) {
+		let highest = -1;
+		for (const target of homes) {
+			const weight = hash32(`${key}|${target.record.id}`);
+			if (weight > highest) {
+				highest = weight;
+				home = target;
+			}
+		}
+
+		if (home) {
+			homeOfPrompt.set(key, home);
+		}
+	}
+
+	return home && {target: home, tokens: prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)};
+};
+
+const candidateAt = (target: PlacedTarget, others: Load, ask: PlacedAsk, keeper: Keeper | undefined, ctx: ChoiceContext): Candidate => {
+	const {prompt} = ask;
+	const {prompts, tokensPerMs, dataCentre, nowMs} = ctx;
+	const own = prompt ? prompts.keptTokens(target.record.id, prompt, nowMs) : 0;
+	const isKeeper = keeper?.target === target;
+	const copies = keeper !== undefined && !isKeeper && keeper.tokens >= own + MIN_COPY_TOKENS;
+	const keptTokens = isKeeper || copies ? Math.max(own, keeper.tokens) : own;
+	const newTokens = prompt ? Math.max(0, prompt.tokens - keptTokens) : 0;
+	const predictedMs = (target.readingTokens + others.readingTokens + newTokens) / tokensPerMs;
+	const copyFrom: TargetRecord | undefined = copies ? keeper.target.record : undefined;
+	return {
+		target,
+		newTokens,
+		price: predictedMs + ((target.running + others.running) * RUNNING_PRICE_MS)
+			+ (target.record.dataCentre === dataCentre ? 0 : OTHER_DATA_CENTRE_PRICE_MS) + (copies ? COPY_PRICE_MS : 0)
+			+ (target.isDoubtful ? DOUBT_PRICE_MS : 0),
+		reason: {
+			predictedMs, keptTokens, running: target.running, othersRunning: others.running, isCold: target.isCold(nowMs), waitedMs: nowMs - ask.arrivedMs, copyFrom,
+		},
+	};
+};
+
+/** Targets that the request was not sent to, less the worst of those that failed lately. */
+const untried = ({tried}: PlacedAsk, {targets, nowMs}: ChoiceContext): readonly PlacedTarget[] => {
+	const left = tried.length === 0 ? targets : targets.filter(({record}) => !tried.includes(record.id));
+	const failing = left.filter(target => target.isPassedOver(nowMs));
+	if (failing.length === 0) {
+		return left;
+	}
+
+	const passedOver = new Set(failing.toSorted((a, b) => b.failuresInRow - a.failuresInRow).slice(0, Math.floor(left.length * MAX_PASSED_OVER_SHARE)));
+	return left.filter(target => !passedOver.has(target));
+};
+
+/** Whether any target is left for the request, now or later. */
+export const hasTargetLeft = (ask: PlacedAsk, ctx: ChoiceContext): boolean => untried(ask, ctx).length > 0;
+
+/** The best target that can start the request now. */
+export const chooseTarget = (ask: PlacedAsk, ctx: ChoiceContext): Candidate | undefined => {
+	const keeper = keeperOf(ask, ctx);
+	let best: Candidate | undefined;
+	for (const target of untried(ask, ctx)) {
+		const others = othersAt(target, ctx);
+		if (!hasRoom(target, others, ask, ctx.service) || !ctx.hasColdRoom(target)) {
+			continue;
+		}
+
+		const candidate = candidateAt(target, others, ask, keeper, ctx);
+		if (startsInTime(ask, candidate.reason, candidate.newTokens / ctx.tokensPerMs) && (!best || candidate.price < best.price)) {
+			best = candidate;
+		}
+	}
+
+	return best;
+};
--- a/src/runtime/entry/attempt-inputs.ts
+++ b/src/runtime/entry/attempt-inputs.ts
@@ -16,8 +16,9 @@
 	...(job.route && {maxTargets: job.route.maxTargets, isResumable: job.route.isResumable, budgetsDeclined: true}),
 });
 
-const placementOf = (job: Job, {targetLatencyMs, prompt}: JobRoute, tried: readonly string[]): AskPlacement => ({
-	targetLatencyMs, arrivedMs: job.arrivedMs, tried, ...(prompt && {prompt}),
+/** A repeat has a latency target of its own, since the first one has usually passed. */
+const placementOf = (job: Job, {targetLatencyMs, prompt}: JobRoute, tried: readonly string[], nowMs: number): AskPlacement => ({
+	targetLatencyMs, arrivedMs: tried.length === 0 ? job.arrivedMs : nowMs, tried, ...(prompt && {prompt}),
 });
 
 /** The ask for a job, with its cost as expected now. */
@@ -32,6 +33,6 @@
 		deadlineMs: job.startByMs,
 		...(job.costHint !== undefined && {costHint: job.costHint}),
 		...(job.prefixHash !== undefined && {prefixHash: job.prefixHash}),
-		...(job.route && {placement: placementOf(job, job.route, tried)}),
+		...(job.route && {placement: placementOf(job, job.route, tried, ctx.clock.nowMs())}),
 	};
 };
--- a/src/runtime/entry/target-pools.ts
+++ b/src/runtime/entry/target-pools.ts
@@ -1,5 +1,5 @@
 /** Connections to targets, one bounded pool for each address. */
-import {Pool} from 'undici';
+import {buildConnector, Pool} from 'undici';
 
 /** Connections to one target, beyond which calls wait. Slots keep the use far below. */
 const MAX_CONNECTIONS = 512;
@@ -17,18 +17,39 @@
 /** Taken off the idle time that a target names, for the way there. */
 const KEEP_ALIVE_MARGIN_MS = 600;
 
+/**
+ * The HTTP client takes a reset for the end of an answer that has no length. Under a
+ * code of its own the reset is an error, as it is for all other answers.
+ */
+const markReset = (err: NodeJS.ErrnoException): void => {
+	if (err.code === 'ECONNRESET') {
+		err.code = 'CONNECTION_RESET';
+	}
+};
+
+const createConnector = (timeout: number): buildConnector.connector => {
+	const connect = buildConnector({timeout});
+	return (options, callback) => {
+		connect(options, (...result) => {
+			result[1]?.prependListener('error', markReset);
+			callback(...result);
+		});
+	};
+};
+
 export type TargetPoolsOptions = {
 	/** Connections to one address at most. */
 	readonly connections?: (address: string) => number;
+	readonly connectTimeoutMs?: number;
 	/** Called when a connection cannot be opened, or the last one broke. */
 	readonly onUnreachable?: (address: string) => void;
 };
 
-const createPool = (address: string, {connections, onUnreachable}: TargetPoolsOptions): Pool => {
+const createPool = (address: string, {connections, connectTimeoutMs = CONNECT_TIMEOUT_MS, onUnreachable}: TargetPoolsOptions): Pool => {
 	const pool = new Pool(`http://${address}`, {
 		connections: connections?.(address) ?? MAX_CONNECTIONS,
 		pipelining: 1,
-		connectTimeout: CONNECT_TIMEOUT_MS,
+		connect: createConnector(connectTimeoutMs),
 		keepAliveTimeout: KEEP_ALIVE_MS,
 		keepAliveMaxTimeout: KEEP_ALIVE_MS,
 		keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -12,7 +12,7 @@
 import {type FleetView} from './fleet-view.js';
 
 /** Milliseconds between looks at what waits, while something waits. */
-const TICK_MS = 15;
+const TICK_MS = 5;
 /** Milliseconds for which a grant may be used. */
 const GRANT_MS = 1000;
 /** Target latency of requests that name none. */
--- a/src/runtime/routing/relay-call.ts
+++ b/src/runtime/routing/relay-call.ts
@@ -23,6 +23,9 @@
 /** Milliseconds without a byte in the middle of a stream after which it counts as broken. */
 const STREAM_STALL_MS = 1800;
 
+/** Multiple of the target latency after which a target that has not begun to answer counts as silent. */
+const SILENT_FACTOR = 1.5;
+
 export type RelayOptions = {
 	readonly wire: TargetWire;
 	readonly pool: (address: string) => Dispatcher;
@@ -47,9 +50,11 @@
 	readonly #progress: Progress;
 	readonly #stall: StallTimer;
 	#call: Call | undefined;
+	#silentTimer: NodeJS.Timeout | undefined;
 	#open = true;
 	#isStream = false;
 	#cancelled = false;
+	#hasFirstToken = false;
 	#head: {readonly status: number; readonly headers: IncomingHttpHeaders; readonly isError: boolean} | undefined;
 	#chunks: Uint8Array[] = [];
 	#size = 0;
@@ -73,7 +78,14 @@
 			copyPromptFrom: grant.copyPromptFrom,
 		});
 		this.#call = callTarget(pool(grant.address), request, {
-			onWriting: () => this.#open && mayWrite(),
+			onWriting: () => {
+				const mayStart = this.#open && mayWrite();
+				if (mayStart) {
+					this.#watchSilence();
+				}
+
+				return mayStart;
+			},
 			onHeaders: (status, headers) => {
 				this.#onHeaders(status, headers);
 			},
@@ -91,6 +103,7 @@
 
 	drop(): void {
 		this.#open = false;
+		clearTimeout(this.#silentTimer);
 		this.#stall.stop();
 		this.#call?.close();
 	}
@@ -122,9 +135,17 @@
 		this.#deliverCollected();
 	}
 
+	#watchSilence(): void {
+		clearTimeout(this.#silentTimer);
+		this.#silentTimer = setTimeout(() => {
+			this.#options.tell({kind: 'silent'});
+		}, (this.#progress.job.route?.targetLatencyMs ?? STREAM_STALL_MS) * SILENT_FACTOR);
+	}
+
 	#finish(message: Parameters<CallOptions['tell']>[0]): void {
 		if (this.#open) {
 			this.#open = false;
+			clearTimeout(this.#silentTimer);
 			this.#stall.stop();
 			this.#options.tell(message);
 		}
@@ -147,6 +168,7 @@
 	#onHeaders(status: number, headers: IncomingHttpHeaders): void {
 		const {wire, grant, observe, log} = this.#options;
 		const {requestId} = this.#progress.job;
+		clearTimeout(this.#silentTimer);
 		const kind = wire.classify(requestId, status, headers);
 		const load = wire.load(headers);
 		if (load && kind !== 'crossed' && kind !== 'misdirected') {
@@ -193,7 +215,11 @@
 			return;
 		}
 
-		this.#options.observe(this.#options.grant, {kind: 'first-token'});
+		if (!this.#hasFirstToken) {
+			this.#hasFirstToken = true;
+			this.#options.observe(this.#options.grant, {kind: 'first-token'});
+		}
+
 		this.#begin();
 		if (!answer.write(whole)) {
 			this.#stall.stop();
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -32,6 +32,8 @@
 const SLOW_CHECK_MS = 500;
 /** Part of a target's connections that all VMs together use. */
 const CONNECTION_SHARE = 0.9;
+/** Milliseconds to connect to a target; a lost opening packet would cost a second or more, another target a few milliseconds. */
+const CONNECT_TIMEOUT_MS = 400;
 /** Connections to one target of an unknown service. */
 const DEFAULT_CONNECTIONS = 32;
 
@@ -111,6 +113,7 @@
 			const service = view.inForce()?.config.services.get(serviceAt(address) ?? '');
 			return service ? Math.max(2, Math.floor(service.maxConnections * CONNECTION_SHARE / vms().length)) : DEFAULT_CONNECTIONS;
 		},
+		connectTimeoutMs: CONNECT_TIMEOUT_MS,
 		onUnreachable(address) {
 			scheduler.onUnreachable(address);
 		},
