--- a/src/runtime/entry/caller-answer.ts
+++ b/src/runtime/entry/caller-answer.ts
@@ -12,8 +12,12 @@
  * answer cannot reach anybody.
  */
 export type CallerAnswer = {
-	/** Writes status and headers. */
-	readonly begin: (status: number, headers: Headers, form: 'events' | 'bytes') => void;
+	/**
+	 * Writes status and headers. `until-close` is for an answer whose end only the end of
+	 * its connection tells: it is passed on in the same way, so that it does not look more
+	 * certain than it is.
+	 */
+	readonly begin: (status: number, headers: Headers, form: 'events' | 'bytes' | 'until-close') => void;
 	/** Writes a part; false asks to pause until `onDrain`. */
 	readonly write: (chunk: Uint8Array | string) => boolean;
 	readonly end: (chunk?: Uint8Array | string) => void;
@@ -51,7 +55,7 @@
 
 /** Wraps a response. */
 export const createCallerAnswer = (res: ServerResponse, requestId: string, answerForm = ownForm(requestId)): CallerAnswer => {
-	let form: 'none' | 'events' | 'bytes' = 'none';
+	let form: 'none' | 'events' | 'bytes' | 'until-close' = 'none';
 	let ended = false;
 	res.once('close', () => {
 		ended = true;
@@ -62,6 +66,8 @@
 			answerForm.writeRefusal(res, err);
 		} else if (form === 'events') {
 			res.end(errorEvent(err, requestId));
+		} else if (form === 'until-close') {
+			res.socket?.resetAndDestroy();
 		} else {
 			res.destroy();
 		}
@@ -71,6 +77,12 @@
 		begin(status, headers, newForm) {
 			if (!ended && form === 'none') {
 				form = newForm;
+				if (form === 'until-close') {
+					res.removeHeader('content-length');
+					res.removeHeader('transfer-encoding');
+					res.setHeader('connection', 'close');
+				}
+
 				res.writeHead(status, {...headers, ...answerForm.headers});
 			}
 		},
--- a/src/runtime/routing/relay-call.ts
+++ b/src/runtime/routing/relay-call.ts
@@ -44,6 +44,10 @@
 
 const isEvents = (headers: IncomingHttpHeaders): boolean => String(headers['content-type'] ?? '').startsWith('text/event-stream');
 
+/** Whether only the end of the connection tells the end of the answer. */
+const endsWithConnection = ({'content-length': length, 'transfer-encoding': encoding}: IncomingHttpHeaders): boolean =>
+	length === undefined && encoding === undefined;
+
 class RelayCall implements RunningCall {
 	readonly cost = 0;
 	readonly #options: RelayOptions & CallOptions;
@@ -235,7 +239,7 @@
 
 		progress.hasBegun = true;
 		this.#options.tell({kind: 'delivering'});
-		progress.answer.begin(head.status, this.#options.wire.callerHeaders(head.headers), 'bytes');
+		progress.answer.begin(head.status, this.#options.wire.callerHeaders(head.headers), endsWithConnection(head.headers) ? 'until-close' : 'bytes');
 	}
 
 	#collect(chunk: Uint8Array): void {
@@ -294,7 +298,14 @@
 		if (head) {
 			const body = Buffer.concat(this.#chunks);
 			const headers = this.#options.wire.callerHeaders(head.headers);
-			answer.begin(head.status, head.status === 204 || head.status === 304 ? headers : {...headers, 'content-length': String(body.length)}, 'bytes');
+			if (head.status === 204 || head.status === 304) {
+				answer.begin(head.status, headers, 'bytes');
+			} else if (endsWithConnection(head.headers)) {
+				answer.begin(head.status, headers, 'until-close');
+			} else {
+				answer.begin(head.status, {...headers, 'content-length': String(body.length)}, 'bytes');
+			}
+
 			answer.end(body);
 		}
 	}
