--- a/src/core/attempt/attempt.ts
+++ b/src/core/attempt/attempt.ts
@@ -119,7 +119,11 @@
 		return askAgain('grant-expired', [{kind: 'drop-call'}, ...endGrant(state, nowMs, unsent)])(state, spec, nowMs);
 	}
 
-	return {state: {...state, kind: 'sent', sentAtMs: nowMs, sends: state.sends + 1}, effects: [{kind: 'write'}]};
+	return {
+		state: {
+			...state, kind: 'sent', sentAtMs: nowMs, sends: state.sends + 1,
+		}, effects: [{kind: 'write'}],
+	};
 };
 
 const hasTargetLeft = (state: AttemptState, spec: AttemptSpec): boolean => state.sends < (spec.maxTargets ?? Infinity);
--- a/src/core/placement/fleet-loads.ts
+++ b/src/core/placement/fleet-loads.ts
@@ -43,7 +43,7 @@
 	/** Takes in a report; one that is older than the last is ignored. */
 	take(loads: VmLoads, nowMs: number): void {
 		const known = this.#reports.get(loads.vm);
-		if (known && known.loads.incarnation === loads.incarnation && loads.sequence <= known.loads.sequence) {
+		if (known?.loads.incarnation === loads.incarnation && loads.sequence <= known.loads.sequence) {
 			return;
 		}
 
--- a/src/core/placement/placed-target.ts
+++ b/src/core/placement/placed-target.ts
@@ -6,7 +6,6 @@
 import {type TargetRecord} from '../routing/types.js';
 import {createRateGate, type RateGate} from './rate-gate.js';
 
-
 /** Milliseconds for which a load report is taken into account. */
 const LOAD_VALID_MS = 2000;
 /** Window of a cold target's rate, in milliseconds; a little more than the second that is counted, for jitter on the way. */
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -162,7 +162,9 @@
 	#onAsk(ask: PlacedAsk, nowMs: number): readonly PlacementEffect[] {
 		const ctx = this.#context(nowMs);
 		if (!hasTargetLeft(ask, ctx)) {
-			return [{kind: 'reject', ask, reason: 'no-target', retryAfterMs: NO_TARGET_RETRY_AFTER_MS}];
+			return [{
+				kind: 'reject', ask, reason: 'no-target', retryAfterMs: NO_TARGET_RETRY_AFTER_MS,
+			}];
 		}
 
 		if (this.#queues.isEmpty && this.#useOf(ask.team, nowMs) <= this.#useCeiling(nowMs)) {
@@ -265,7 +267,8 @@
 		const ceiling = this.#useCeiling(nowMs);
 		const uses = new Map([...this.#queues.teams()].map(team => [team, this.#useOf(team, nowMs)]));
 		while (uses.size > 0) {
-			const [team, use] = [...uses].reduce((least, entry) => entry[1] < least[1] ? entry : least);
+			const use = Math.min(...uses.values());
+			const team = [...uses.keys()].find(name => uses.get(name) === use) ?? '';
 			const start = use <= ceiling && this.#firstStart(team, ctx);
 			if (start) {
 				this.#queues.removeOf(team, ask => ask === start.ask);
--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -128,7 +128,7 @@
 	return home && {target: home, tokens: prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)};
 };
 
-const candidateAt = (target: PlacedTarget, others: Load, ask: PlacedAsk, keeper: Keeper | undefined, ctx: ChoiceContext): Candidate => {
+const candidateAt = (target: PlacedTarget, {ask, keeper, others}: {readonly ask: PlacedAsk; readonly keeper: Keeper | undefined; readonly others: Load}, ctx: ChoiceContext): Candidate => {
 	const {prompt} = ask;
 	const {prompts, tokensPerMs, dataCentre, nowMs} = ctx;
 	const own = prompt ? prompts.keptTokens(target.record.id, prompt, nowMs) : 0;
@@ -175,7 +175,7 @@
 			continue;
 		}
 
-		const candidate = candidateAt(target, others, ask, keeper, ctx);
+		const candidate = candidateAt(target, {ask, keeper, others}, ctx);
 		if (startsInTime(ask, candidate.reason, candidate.newTokens / ctx.tokensPerMs) && (!best || candidate.price < best.price)) {
 			best = candidate;
 		}
--- a/src/core/routing/route-table.ts
+++ b/src/core/routing/route-table.ts
@@ -8,7 +8,7 @@
 	 * @param host - As the caller sent it, with or without a port.
 	 * @param path - Path with or without a query.
 	 */
-	readonly find: (host: string, path: string) => Route | undefined;
+	readonly routeOf: (host: string, path: string) => Route | undefined;
 };
 
 const hostName = (host: string): string => host.replace(/:\d+$/v, '').toLowerCase();
@@ -34,7 +34,7 @@
 	}
 
 	return {
-		find(host, path) {
+		routeOf(host, path) {
 			const byPrefix = byHost.get(hostName(host));
 			const prefix = byPrefix && prefixesOf(path).find(candidate => byPrefix.has(candidate));
 			return prefix === undefined ? undefined : byPrefix?.get(prefix);
--- a/src/runtime/entry/attempt-task.ts
+++ b/src/runtime/entry/attempt-task.ts
@@ -201,6 +201,9 @@
 	#askLater({delayMs, retry}: Effect<'ask'>): void {
 		if (retry) {
 			this.#ctx.metrics.retries.inc({reason: retry});
+			this.#ctx.log.info('request repeated', {
+				request_id: this.#job.requestId, service: this.#job.service, reason: retry, after_target: this.#lastTarget, delivering: this.#state.delivering, delay_ms: Math.round(delayMs),
+			});
 		}
 
 		if (delayMs === 0) {
@@ -268,6 +271,10 @@
 	}
 
 	#refuse(refusal: RefusalError): void {
+		this.#ctx.log.info('request refused', {
+			request_id: this.#job.requestId, team: this.#job.team, service: this.#job.service, reason: refusal.data.name, not_run: refusal.notRun,
+			retry_after_ms: refusal.retryAfterMs === undefined ? undefined : Math.round(refusal.retryAfterMs), target: this.#lastTarget, fault: refusal.message,
+		});
 		this.#ctx.metrics.refusals.inc({reason: refusal.data.name, not_run: String(refusal.notRun)});
 		this.#ctx.register?.countRefusal(refusal, this.#job);
 		this.#answer.refuse(refusal);
@@ -282,7 +289,7 @@
 		void this.#settleClaim({kind: 'ended', outcome, ran});
 		metrics.requests.inc({service, outcome});
 		metrics.answerTime.observe({service}, seconds);
-		log.info('request ended', {
+		log[outcome === 'answered' ? 'routine' : 'info']('request ended', {
 			request_id: requestId, team, service, outcome, ran, target: this.#lastTarget, retries: this.#state.retries, seconds,
 		});
 		this.#onDone();
--- a/src/runtime/entry/caller-answer.ts
+++ b/src/runtime/entry/caller-answer.ts
@@ -62,14 +62,26 @@
 	});
 
 	const tellRefusal = (err: RefusalError) => {
-		if (form === 'none') {
-			answerForm.writeRefusal(res, err);
-		} else if (form === 'events') {
-			res.end(errorEvent(err, requestId));
-		} else if (form === 'until-close') {
-			res.socket?.resetAndDestroy();
-		} else {
-			res.destroy();
+		switch (form) {
+			case 'none': {
+				answerForm.writeRefusal(res, err);
+				break;
+			}
+
+			case 'events': {
+				res.end(errorEvent(err, requestId));
+				break;
+			}
+
+			case 'until-close': {
+				res.socket?.resetAndDestroy();
+				break;
+			}
+
+			case 'bytes': {
+				res.destroy();
+				break;
+			}
 		}
 	};
 
--- a/src/runtime/observe/log.ts
+++ b/src/runtime/observe/log.ts
@@ -12,7 +12,13 @@
  * @example
  * log.warn('answer dropped', {request_id: id, reason: 'crossed'});
  */
-export type Log = Readonly<Record<'debug' | 'info' | 'warn' | 'error', (event: string, fields?: LogFields) => void>>;
+export type Log = Readonly<Record<'debug' | 'info' | 'warn' | 'error', (event: string, fields?: LogFields) => void>> & {
+	/** As `info`, for what went well; such lines are dropped first when logs cannot be written fast enough. */
+	readonly routine: (event: string, fields?: LogFields) => void;
+};
+
+/** Takes one line; `isRoutine` lines are of use only while there is room for them. */
+export type WriteLine = (line: string, isRoutine: boolean) => void;
 
 const levels: Readonly<Record<LogLevel, number>> = {
 	debug: LogLevels.debug,
@@ -23,24 +29,30 @@
 };
 
 /** A reporter that writes each event as one line of JSON. */
-const jsonReporter = (write: (line: string) => void): ConsolaReporter => ({
+const jsonReporter = (write: WriteLine): ConsolaReporter => ({
 	log(entry) {
-		const [event, fields] = entry.args as readonly unknown[];
+		const [event, fields, isRoutine] = entry.args as readonly unknown[];
 		write(`${JSON.stringify({
 			time: entry.date.toISOString(), level: entry.type, event, ...(typeof fields === 'object' && fields),
-		})}\n`);
+		})}\n`, isRoutine === true);
 	},
 });
 
 /** Creates a log that writes events of `level` and above. */
-export const createLog = (level: LogLevel, write: (line: string) => void, base: LogFields = {}): Log => {
+export const createLog = (level: LogLevel, write: WriteLine, base: LogFields = {}): Log => {
 	const consola = createConsola({level: levels[level], throttle: 0, reporters: [jsonReporter(write)]});
 	const at = (type: 'debug' | 'info' | 'warn' | 'error') => (event: string, fields: LogFields = {}) => {
 		consola[type](event, {...base, ...fields});
 	};
 
 	return {
-		debug: at('debug'), info: at('info'), warn: at('warn'), error: at('error'),
+		debug: at('debug'),
+		info: at('info'),
+		warn: at('warn'),
+		error: at('error'),
+		routine(event, fields = {}) {
+			consola.info(event, {...base, ...fields}, true);
+		},
 	};
 };
 
--- a/src/runtime/router/vm-base.ts
+++ b/src/runtime/router/vm-base.ts
@@ -4,6 +4,9 @@
 import {type Clock} from '../../core/clock.js';
 import {type Settings} from '../../core/settings/schema.js';
 import {monotonicClock} from '../monotonic-clock.js';
+import {
+	createLineWriter, descriptorWrite, writeHeldSync, type LineWriter,
+} from '../observe/line-writer.js';
 import {createLog, type Log} from '../observe/log.js';
 import {createMetrics, type Metrics} from '../observe/metrics.js';
 
@@ -22,6 +25,15 @@
 
 const INCARNATION_LENGTH = 8;
 
+/** Standard output, never waited for; what is still held at the end of the process is written then. */
+const standardOutput = (): LineWriter => {
+	const lines = createLineWriter({write: descriptorWrite(process.stdout.fd)});
+	process.once('exit', () => {
+		writeHeldSync(process.stdout.fd, lines);
+	});
+	return lines;
+};
+
 export const createVmBase = (settings: Settings): VmBase => ({
 	settings,
 	vm: settings.vm.id,
@@ -29,8 +41,6 @@
 	incarnation: randomUUID().slice(0, INCARNATION_LENGTH),
 	clock: monotonicClock,
 	random: Math.random,
-	log: createLog(settings.log.level, line => {
-		process.stdout.write(line);
-	}, {vm: settings.vm.id}),
+	log: createLog(settings.log.level, standardOutput().write, {vm: settings.vm.id}),
 	metrics: createMetrics(),
 });
--- a/src/runtime/routing/fleet-view.ts
+++ b/src/runtime/routing/fleet-view.ts
@@ -40,7 +40,7 @@
 	const onTarget = (target: TargetRecord): readonly FleetNews[] => {
 		const known = targets.get(target.id);
 		targets.set(target.id, target);
-		if (!known || known.isDraining !== target.isDraining || known.bornMs !== target.bornMs || known.address !== target.address) {
+		if (known?.isDraining !== target.isDraining || known.bornMs !== target.bornMs || known.address !== target.address) {
 			log.info('target state', {
 				target: target.id, service: target.service, address: target.address, data_centre: target.dataCentre,
 				draining: target.isDraining, cold_ms: target.coldRemainingMs, sequence: target.sequence, known: known !== undefined,
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -53,18 +53,25 @@
 	let grants = 0;
 	let timer: NodeJS.Timeout | undefined;
 
+	const createGrantId = (): string => {
+		grants++;
+		return `${vm}-${grants}`;
+	};
+
 	const perform = (service: string, effects: readonly PlacementEffect[]): void => {
 		for (const effect of effects) {
 			const waiter = waiters.get(effect.ask.requestId);
 			waiters.delete(effect.ask.requestId);
 			if (effect.kind === 'reject') {
-				log.info('request not placed', {request_id: effect.ask.requestId, service, reason: effect.reason, retry_after_ms: Math.round(effect.retryAfterMs), waited_ms: Math.round(clock.nowMs() - effect.ask.arrivedMs)});
+				log.info('request not placed', {
+					request_id: effect.ask.requestId, service, reason: effect.reason, retry_after_ms: Math.round(effect.retryAfterMs), waited_ms: Math.round(clock.nowMs() - effect.ask.arrivedMs),
+				});
 				waiter?.reject(new RefusalError(effect.reason === 'no-target' ? NoTarget : DeadlinePassed, {service}, {retryAfterMs: effect.retryAfterMs}));
 				continue;
 			}
 
 			const {target, grantId, because} = effect;
-			log.info('request placed', {
+			log.routine('request placed', {
 				request_id: effect.ask.requestId, service, target: target.id, predicted_ms: Math.round(because.predictedMs), kept_tokens: because.keptTokens,
 				running: because.running, others: because.othersRunning, cold: because.isCold, copy_from: because.copyFrom?.id, waited_ms: Math.round(because.waitedMs),
 			});
@@ -108,7 +115,7 @@
 			}
 
 			placements.set(service.name, new ServicePlacement({
-				service, bounds, vm, vms, dataCentre, fleet: loads, createGrantId: () => `${vm}-${++grants}`,
+				service, bounds, vm, vms, dataCentre, fleet: loads, createGrantId,
 			}));
 			tell(service.name, {kind: 'data-centres-out', names: view.outNames()});
 			for (const target of view.targets().values()) {
@@ -126,7 +133,9 @@
 		if (placements.has(service)) {
 			tell(service, {kind: 'ask', ask: placed});
 		} else {
-			perform(service, [{kind: 'reject', ask: placed, reason: 'no-target', retryAfterMs: DEFAULT_LATENCY_MS}]);
+			perform(service, [{
+				kind: 'reject', ask: placed, reason: 'no-target', retryAfterMs: DEFAULT_LATENCY_MS,
+			}]);
 		}
 
 		return {
@@ -150,13 +159,17 @@
 			const service = serviceOfGrant.get(grantId);
 			serviceOfGrant.delete(grantId);
 			if (service !== undefined) {
-				tell(service, {kind: 'end', grantId, target, result});
+				tell(service, {
+					kind: 'end', grantId, target, result,
+				});
 			}
 		},
 		observe({grantId, target}, observation) {
 			const service = serviceOfGrant.get(grantId);
 			if (service !== undefined) {
-				tell(service, {kind: 'observe', grantId, target, observation});
+				tell(service, {
+					kind: 'observe', grantId, target, observation,
+				});
 			}
 		},
 		onNews(news) {
@@ -177,7 +190,10 @@
 					break;
 				}
 
-				default: {
+				case 'all-targets':
+				case 'fleet-size':
+				case 'source-lost':
+				case 'source-regained': {
 					break;
 				}
 			}
--- a/src/runtime/routing/relay-call.ts
+++ b/src/runtime/routing/relay-call.ts
@@ -49,7 +49,6 @@
 	length === undefined && encoding === undefined;
 
 class RelayCall implements RunningCall {
-	readonly cost = 0;
 	readonly #options: RelayOptions & CallOptions;
 	readonly #progress: Progress;
 	readonly #stall: StallTimer;
@@ -71,6 +70,11 @@
 		}, STREAM_STALL_MS);
 	}
 
+	/** The cost of a routed request is counted at its start. */
+	get cost(): number {
+		return 0;
+	}
+
 	start(): void {
 		const {wire, pool, grant, clock, mayWrite} = this.#options;
 		const {job, events, hasBegun} = this.#progress;
@@ -163,7 +167,9 @@
 	#onError(err: Error): void {
 		const {log, grant} = this.#options;
 		if (this.#open) {
-			log.info('call broke', {request_id: this.#progress.job.requestId, target: grant.target, fault: err.message, events: this.#progress.events.events()});
+			log.info('call broke', {
+				request_id: this.#progress.job.requestId, target: grant.target, fault: err.message, events: this.#progress.events.events(),
+			});
 		}
 
 		this.#fail('link-broken');
@@ -185,7 +191,9 @@
 			return;
 		}
 
-		log.info('answer not used', {request_id: requestId, target: grant.target, status, reason: kind});
+		log.info('answer not used', {
+			request_id: requestId, target: grant.target, status, reason: kind,
+		});
 		if (kind === 'crossed') {
 			this.#fail('crossed');
 			return;
--- a/src/runtime/routing/route-request.ts
+++ b/src/runtime/routing/route-request.ts
@@ -24,7 +24,7 @@
 	}
 
 	const {config, routes} = inForce;
-	const route = routes.find(head.host, path);
+	const route = routes.routeOf(head.host, path);
 	if (!route) {
 		throw new RefusalError(UnknownRoute, {path});
 	}
--- a/src/runtime/routing/serve-request.ts
+++ b/src/runtime/routing/serve-request.ts
@@ -23,10 +23,14 @@
 const asRefusal = (err: unknown): RefusalError =>
 	err instanceof RefusalError ? err : new RefusalError(InternalFault, {}, err instanceof Error ? {cause: err} : {});
 
-const refuse = (answer: CallerAnswer, req: IncomingMessage, head: RoutedHead, err: unknown, {attempts: {log, metrics}}: ServeContext): void => {
+type Exchange = {readonly req: IncomingMessage; readonly answer: CallerAnswer; readonly head: RoutedHead};
+
+const refuse = ({req, answer, head}: Exchange, err: unknown, {attempts: {log, metrics}}: ServeContext): void => {
 	const refusal = asRefusal(err);
 	metrics.refusals.inc({reason: refusal.data.name, not_run: String(refusal.notRun)});
-	log.info('request refused', {request_id: head.requestId, reason: refusal.data.name, fault: refusal.message, host: head.host, path: req.url});
+	log.info('request refused', {
+		request_id: head.requestId, reason: refusal.data.name, fault: refusal.message, host: head.host, path: req.url,
+	});
 	req.resume();
 	answer.refuse(refusal);
 };
@@ -56,7 +60,7 @@
 		attempts.gate.requeue(job.team);
 		await runAttempt(job, answer, attempts);
 	} catch (error) {
-		refuse(answer, req, head, error, ctx);
+		refuse({req, answer, head}, error, ctx);
 	} finally {
 		attempts.metrics.openRequests.dec();
 	}
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -167,22 +167,28 @@
 		}
 	});
 
+	const stop = async (): Promise<void> => {
+		isLeaving = true;
+		log.info('leaving', {grace_ms: bounds.graceMs});
+		serverStop.leave();
+		const endByMs = clock.nowMs() + bounds.graceMs - END_MARGIN_MS;
+		await delay(Math.min(LEAVE_NOTICE_MS, bounds.graceMs / 2));
+		await Promise.race([serverStop.stop(), delay(Math.max(0, endByMs - clock.nowMs()))]);
+		log.info('stopped');
+		await source.stop();
+		scheduler.stop();
+		exchange.close();
+		await pools.close();
+		for (const status of statusServers) {
+			status.close();
+		}
+	};
+
+	let stopped: Promise<void> | undefined;
 	return {
 		async stop() {
-			isLeaving = true;
-			log.info('leaving', {grace_ms: bounds.graceMs});
-			serverStop.leave();
-			const endByMs = clock.nowMs() + bounds.graceMs - END_MARGIN_MS;
-			await delay(Math.min(LEAVE_NOTICE_MS, bounds.graceMs / 2));
-			await Promise.race([serverStop.stop(), delay(Math.max(0, endByMs - clock.nowMs()))]);
-			log.info('stopped');
-			await source.stop();
-			scheduler.stop();
-			exchange.close();
-			await pools.close();
-			for (const status of statusServers) {
-				status.close();
-			}
+			stopped ??= stop();
+			return stopped;
 		},
 	};
 };
--- /dev/null
+++ b/standins/works/works-target.ts
@@ -0,0 +1,159 @@
+/** Stand-in of a target on the Works' platform: streams of events and plain answers. */
+import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import {once} from 'node:events';
+import {setTimeout as delay} from 'node:timers/promises';
+import {buffer} from 'node:stream/consumers';
+import {listen} from '../../src/runtime/entry/listen.js';
+
+/** What the target does with a request instead of answering it well. */
+export type TargetFault = 'decline' | 'other-process' | 'error' | 'reset' | 'break-stream' | 'reset-without-length' | 'silent' | 'crossed-decline';
+
+/** A request as it arrived. */
+export type Arrival = {
+	readonly method: string;
+	readonly path: string;
+	readonly headers: http.IncomingHttpHeaders;
+	readonly body: string;
+	/** Whether it was run. */
+	readonly ran: boolean;
+};
+
+export type WorksTarget = {
+	readonly id: string;
+	readonly address: string;
+	readonly arrivals: () => readonly Arrival[];
+	/** Requests whose connection the router closed before the end. */
+	readonly cancelled: () => number;
+	/** Faults of the next requests, in order. */
+	readonly failNext: (...faults: readonly TargetFault[]) => void;
+	readonly close: () => Promise<void>;
+};
+
+export type WorksTargetOptions = {
+	readonly id: string;
+	readonly stream: boolean;
+	/** Events of a stream, and milliseconds between them. */
+	readonly events?: number;
+	readonly gapMs?: number;
+};
+
+const BREAK_AFTER_EVENTS = 3;
+
+/** Starts a target on loopback. */
+export const startWorksTarget = async ({id, stream, events = 8, gapMs = 5}: WorksTargetOptions): Promise<WorksTarget> => {
+	const arrivals: Arrival[] = [];
+	const faults: TargetFault[] = [];
+	let cancelled = 0;
+
+	const headersOf = (req: IncomingMessage, fault: TargetFault | undefined): http.OutgoingHttpHeaders => ({
+		'x-attempt-id': fault === 'crossed-decline' ? 'of-another-request' : req.headers['x-attempt-id'],
+		'x-server-stamp': `${id}.1`,
+		'x-instance-load': '1,0,8',
+		'keep-alive': 'timeout=10',
+	});
+
+	const answerEvents = async (req: IncomingMessage, res: ServerResponse, fault: TargetFault | undefined): Promise<void> => {
+		const first = Number(req.headers['last-event-id'] ?? 0) + 1;
+		res.writeHead(200, {...headersOf(req, fault), 'content-type': 'text/event-stream'});
+		for (let event = first; event <= events; event++) {
+			if (fault === 'break-stream' && first === 1 && event === first + BREAK_AFTER_EVENTS) {
+				res.write(`id: ${event}\ndata: bro`);
+				// Gives the half event time to arrive.
+				await delay(gapMs); // eslint-disable-line no-await-in-loop
+				req.socket.resetAndDestroy();
+				return;
+			}
+
+			res.write(`id: ${event}\ndata: word ${event}\n\n`);
+			await delay(gapMs); // eslint-disable-line no-await-in-loop
+		}
+
+		res.end();
+	};
+
+	const fail = (req: IncomingMessage, res: ServerResponse, fault: TargetFault | undefined): boolean => {
+		switch (fault) {
+			case 'decline':
+			case 'crossed-decline': {
+				res.writeHead(503, {...headersOf(req, fault), 'x-not-executed': '1'}).end();
+				return true;
+			}
+
+			case 'other-process': {
+				res.writeHead(421, headersOf(req, fault)).end();
+				return true;
+			}
+
+			case 'error': {
+				res.writeHead(500, headersOf(req, fault)).end('failed');
+				return true;
+			}
+
+			case 'reset': {
+				req.socket.resetAndDestroy();
+				return true;
+			}
+
+			case 'reset-without-length': {
+				req.socket.write(`HTTP/1.1 200 OK\r\nx-attempt-id: ${String(req.headers['x-attempt-id'])}\r\nx-server-stamp: ${id}.1\r\n\r\nhalf`);
+				setTimeout(() => {
+					req.socket.resetAndDestroy();
+				}, gapMs);
+				return true;
+			}
+
+			case 'silent': {
+				return true;
+			}
+
+			case 'break-stream':
+			case undefined: {
+				return false;
+			}
+		}
+	};
+
+	const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+		const body = await buffer(req);
+		const fault = faults.shift();
+		const ran = fault !== 'decline' && fault !== 'crossed-decline' && fault !== 'other-process';
+		arrivals.push({
+			method: req.method ?? '', path: req.url ?? '', headers: req.headers, body: body.toString(), ran,
+		});
+		res.once('close', () => {
+			if (!res.writableFinished) {
+				cancelled++;
+			}
+		});
+		if (fail(req, res, fault)) {
+			return;
+		}
+
+		if (stream) {
+			await answerEvents(req, res, fault);
+		} else {
+			res.writeHead(200, headersOf(req, fault)).end(`done by ${id}`);
+		}
+	};
+
+	const server = http.createServer((req, res) => {
+		void serve(req, res);
+	});
+	const address = await listen(server, {host: '127.0.0.1', port: 0});
+
+	return {
+		id,
+		address,
+		arrivals: () => arrivals,
+		cancelled: () => cancelled,
+		failNext(...next) {
+			faults.push(...next);
+		},
+		async close() {
+			const closed = once(server, 'close');
+			server.close();
+			server.closeAllConnections();
+			await closed;
+		},
+	};
+};
--- /dev/null
+++ b/test/placement/retry-share.test.ts
@@ -0,0 +1,41 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {createRetryShare} from '../../src/core/placement/retry-share.js';
+import {bounds} from './_service.js';
+
+const VMS = 7;
+
+test('in every window all VMs together stay within the ratio and the slack', t => {
+	const steps = fc.array(fc.record({vm: fc.integer({min: 0, max: VMS - 1}), waitMs: fc.integer({min: 0, max: 200}), retries: fc.integer({min: 0, max: 3})}), {minLength: 50, maxLength: 400});
+	const check = () => {
+		fc.assert(fc.property(steps, list => {
+			const shares = Array.from({length: VMS}, () => createRetryShare(bounds, () => VMS));
+			const requests: number[] = [];
+			const retries: number[] = [];
+			let nowMs = 0;
+			for (const {vm, waitMs, retries: wanted} of list) {
+				nowMs += waitMs;
+				shares[vm]?.earn(nowMs, 's');
+				requests.push(nowMs);
+				for (let count = 0; count < wanted; count++) {
+					if (shares[vm]?.take(nowMs, 's')) {
+						retries.push(nowMs);
+					}
+				}
+			}
+
+			return retries.every(end => {
+				const inWindow = (times: readonly number[]) => times.filter(ms => ms > end - bounds.retryWindowMs && ms <= end).length;
+				return inWindow(retries) <= (bounds.retryRatio * inWindow(requests)) + bounds.retrySlack;
+			});
+		}), {seed: 3, numRuns: 60});
+	};
+
+	t.notThrows(check);
+});
+
+test('a VM without requests still has its part of the slack', t => {
+	const share = createRetryShare(bounds, () => VMS);
+	const taken = Array.from({length: 20}, () => share.take(0, 's')).filter(Boolean).length;
+	t.is(taken, Math.floor(0.85 * 54 / VMS));
+});
--- /dev/null
+++ b/test/placement/service-placement.test.ts
@@ -0,0 +1,170 @@
+import test from 'ava';
+import {FleetLoads} from '../../src/core/placement/fleet-loads.js';
+import {type PlacementEffect} from '../../src/core/placement/messages.js';
+import {type ServicePlacement} from '../../src/core/placement/service-placement.js';
+import {
+	ask, createPlacement, modelService, plainService, prompt, target,
+} from './_service.js';
+
+const targetsOf = (effects: readonly PlacementEffect[]) => effects.map(effect => effect.kind === 'grant' ? effect.target.id : effect.reason);
+
+const withTargets = (placement: ServicePlacement, ids: readonly string[], nowMs = 0): ServicePlacement => {
+	for (const id of ids) {
+		placement.handle({kind: 'target', target: target(id)}, nowMs);
+	}
+
+	return placement;
+};
+
+test('VMs that know nothing of each other send equal prompts to the same target', t => {
+	const first = withTargets(createPlacement({vm: 'vm-1'}), ['t1', 't2', 't3', 't4']);
+	const second = withTargets(createPlacement({vm: 'vm-2'}), ['t4', 't3', 't2', 't1']);
+	for (let subject = 0; subject < 20; subject++) {
+		const wish = ask('team', subject * 1000, {prompt: prompt(`s${subject}`, 5000)});
+		const places = [first, second].map(placement => {
+			const [effect] = placement.handle({kind: 'ask', ask: wish}, subject * 1000);
+			if (effect?.kind === 'grant') {
+				placement.handle({
+					kind: 'end', grantId: effect.grantId, target: effect.target.id, result: {kind: 'answered', cost: 0, answerMs: 1},
+				}, (subject * 1000) + 1);
+			}
+
+			return effect?.kind === 'grant' ? effect.target.id : undefined;
+		});
+		t.is(places[0], places[1]);
+	}
+});
+
+test('all VMs together send a cold target no more than it bears in any second', t => {
+	const vms = Array.from({length: 7}, (_, index) => `vm-${index}`);
+	const placements = vms.map(vm => {
+		const placement = createPlacement({vm, vms});
+		placement.handle({kind: 'target', target: target('cold', {coldRemainingMs: 60_000})}, 0);
+		return placement;
+	});
+	const sentMs: number[] = [];
+	for (let nowMs = 0; nowMs < 5000; nowMs += 20) {
+		for (const placement of placements) {
+			const effects = placement.handle({kind: 'ask', ask: ask('team', nowMs, {prompt: prompt('s', 5000)})}, nowMs);
+			sentMs.push(...effects.filter(({kind}) => kind === 'grant').map(() => nowMs));
+		}
+	}
+
+	const most = Math.max(...sentMs.map(start => sentMs.filter(ms => ms >= start && ms < start + 1000).length));
+	t.true(most <= (10 * 1.5) + 5, `${most} in a second`);
+	t.true(most >= 7);
+});
+
+test('a fleet with more VMs than a cold target bears requests sends no more either', t => {
+	const vms = Array.from({length: 60}, (_, index) => `vm-${index}`);
+	let sent = 0;
+	for (const vm of vms) {
+		const placement = createPlacement({vm, vms});
+		placement.handle({kind: 'target', target: target('cold', {coldRemainingMs: 60_000})}, 0);
+		for (let count = 0; count < 5; count++) {
+			sent += placement.handle({kind: 'ask', ask: ask('team', 0)}, 0).filter(({kind}) => kind === 'grant').length;
+		}
+	}
+
+	t.is(sent, 20);
+});
+
+test('a target whose connections broke counts as cold until later heartbeats', t => {
+	const vms = Array.from({length: 7}, (_, index) => `vm-${index}`);
+	const placement = withTargets(createPlacement({vms}), ['t1']);
+	const startMany = (nowMs: number) => Array.from({length: 10}, () => placement.handle({kind: 'ask', ask: ask('team', nowMs)}, nowMs))
+		.flat().filter(({kind}) => kind === 'grant').length;
+	placement.handle({kind: 'unreachable', target: 't1'}, 0);
+	t.is(startMany(1), 2);
+	placement.handle({kind: 'target', target: target('t1', {sequence: 2})}, 2000);
+	t.is(startMany(2001), 0, 'what waits has taken the room');
+	placement.handle({kind: 'target', target: target('t1', {sequence: 3})}, 4000);
+	placement.handle({kind: 'tick'}, 4000);
+	t.is(startMany(4001), 10);
+});
+
+test('nothing goes to targets that drain, are gone, or stand in a data centre that is out', t => {
+	const placement = withTargets(createPlacement(), ['drains', 'gone']);
+	placement.handle({kind: 'target', target: target('away', {dataCentre: 'dc-b'})}, 0);
+	placement.handle({kind: 'target', target: target('drains', {isDraining: true})}, 0);
+	placement.handle({kind: 'target-gone', id: 'gone'}, 0);
+	placement.handle({kind: 'data-centres-out', names: new Set(['dc-b'])}, 0);
+	t.deepEqual(targetsOf(placement.handle({kind: 'ask', ask: ask('team', 0)}, 0)), ['no-target']);
+	placement.handle({kind: 'data-centres-out', names: new Set()}, 10);
+	t.deepEqual(targetsOf(placement.handle({kind: 'ask', ask: ask('team', 10)}, 10)), ['away']);
+});
+
+test('a repeat goes to another target', t => {
+	const placement = withTargets(createPlacement(), ['t1', 't2']);
+	t.deepEqual(targetsOf(placement.handle({kind: 'ask', ask: ask('team', 0, {tried: ['t1']})}, 0)), ['t2']);
+	t.deepEqual(targetsOf(placement.handle({kind: 'ask', ask: ask('team', 0, {tried: ['t1', 't2']})}, 0)), ['no-target']);
+});
+
+test('at most a third of the targets is passed over after failures', t => {
+	const placement = withTargets(createPlacement({service: {...plainService, name: 'tariff'}}), ['t1', 't2', 't3']);
+	for (const id of ['t1', 't2', 't3']) {
+		placement.handle({
+			kind: 'end', grantId: 'none', target: id, result: {kind: 'failed', cost: 0, answerMs: 1},
+		}, 0);
+	}
+
+	const used = new Set(Array.from({length: 12}, () => placement.handle({kind: 'ask', ask: ask('team', 1)}, 1)).flatMap(effects => targetsOf(effects)));
+	t.is(used.size, 2);
+});
+
+test('the team that received least starts first when room comes', t => {
+	const placement = withTargets(createPlacement({service: {...modelService, engine: {slots: 2, kvCapacityTokens: 400_000, canCopyPrompts: true}}}), ['t1']);
+	const [first] = placement.handle({kind: 'ask', ask: ask('large', 0, {prompt: prompt('a', 5000)})}, 0);
+	placement.handle({kind: 'ask', ask: ask('large', 1, {prompt: prompt('a', 5000)})}, 1);
+	placement.handle({kind: 'ask', ask: ask('large', 2, {prompt: prompt('a', 5000)})}, 2);
+	placement.handle({kind: 'ask', ask: ask('small', 3, {prompt: prompt('b', 5000)})}, 3);
+	t.is(first?.kind, 'grant');
+	placement.handle({
+		kind: 'end', grantId: 'vm-1-1', target: 't1', result: {kind: 'answered', cost: 0, answerMs: 1},
+	}, 100);
+	const teams = placement.handle({kind: 'tick'}, 101).map(effect => effect.ask.team);
+	t.is(teams[0], 'small');
+});
+
+test('a team that received much lets one go first that waits at another VM', t => {
+	const fleet = new FleetLoads();
+	const placement = withTargets(createPlacement({vms: ['vm-1', 'vm-2'], fleet}), ['t1', 't2']);
+	const start = (nowMs: number) => targetsOf(placement.handle({kind: 'ask', ask: ask('large', nowMs, {prompt: prompt('a', 5000)})}, nowMs)).length;
+	t.is(start(0), 1);
+	for (let count = 0; count < 6; count++) {
+		start(10 + count);
+	}
+
+	const waiting = {
+		vm: 'vm-2', incarnation: 'i', sequence: 1, targets: [], teams: [{
+			service: 'tariff', team: 'small', use: 100, waits: true,
+		}],
+	};
+	fleet.take(waiting, 30);
+	t.is(start(31), 0);
+	fleet.take({...waiting, sequence: 2, teams: []}, 60);
+	t.true(placement.handle({kind: 'tick'}, 61).some(({kind}) => kind === 'grant'));
+});
+
+test('what no target starts in time is refused with a time to come back', t => {
+	const placement = withTargets(createPlacement({service: {...modelService, engine: {slots: 1, kvCapacityTokens: 400_000, canCopyPrompts: true}}}), ['t1']);
+	placement.handle({kind: 'ask', ask: ask('team', 0, {prompt: prompt('a', 5000)})}, 0);
+	placement.handle({kind: 'ask', ask: ask('team', 0, {prompt: prompt('a', 5000)})}, 0);
+	t.deepEqual(placement.handle({kind: 'tick'}, 500), []);
+	const [refused] = placement.handle({kind: 'tick'}, 601);
+	t.like(refused, {kind: 'reject', reason: 'too-late'});
+	t.true(refused?.kind === 'reject' && refused.retryAfterMs >= 300);
+});
+
+test('requests of other VMs at a target count', t => {
+	const fleet = new FleetLoads();
+	const placement = withTargets(createPlacement({vms: ['vm-1', 'vm-2'], fleet}), ['t1', 't2']);
+	fleet.take({
+		vm: 'vm-2', incarnation: 'i', sequence: 1, teams: [], targets: [{
+			target: 't1', running: 30, readingTokens: 200_000, heldTokens: 300_000,
+		}],
+	}, 0);
+	t.deepEqual(targetsOf(placement.handle({kind: 'ask', ask: ask('team', 1, {prompt: prompt('a', 5000)})}, 1)), ['t2']);
+	fleet.expire(5000);
+	t.is(fleet.at('t1').running, 0);
+});
