--- a/src/core/placement/messages.ts
+++ b/src/core/placement/messages.ts
@@ -30,6 +30,8 @@
 	readonly running: number;
 	readonly othersRunning: number;
 	readonly isCold: boolean;
+	/** Age of the target's last heartbeat here. */
+	readonly heartbeatAgeMs: number;
 	readonly waitedMs: number;
 	/** Target that passes on the prompt parts that it keeps. */
 	readonly copyFrom: TargetRecord | undefined;
--- a/src/core/placement/placed-target.ts
+++ b/src/core/placement/placed-target.ts
@@ -34,6 +34,7 @@
 	readonly #placed = new Map<string, Placed>();
 	readonly #coldGate: RateGate = createRateGate(COLD_WINDOW_MS);
 	#coldUntilMs: number;
+	#heardMs: number;
 	/** Heartbeats still to be seen before the target counts as warm again; 0 when none. */
 	#unconfirmed = 0;
 	#failuresInRow = 0;
@@ -45,6 +46,12 @@
 	constructor(record: TargetRecord, nowMs: number) {
 		this.record = record;
 		this.#coldUntilMs = nowMs + record.coldRemainingMs;
+		this.#heardMs = nowMs;
+	}
+
+	/** Reading of the clock at its last heartbeat here. */
+	get heardMs(): number {
+		return this.#heardMs;
 	}
 
 	/** Requests of this VM that run there. */
@@ -82,6 +89,7 @@
 		}
 
 		if (isNews) {
+			this.#heardMs = nowMs;
 			this.#coldUntilMs = nowMs + record.coldRemainingMs;
 		}
 
--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -145,7 +145,14 @@
 			+ (target.record.dataCentre === dataCentre ? 0 : OTHER_DATA_CENTRE_PRICE_MS) + (copies ? COPY_PRICE_MS : 0)
 			+ (target.isDoubtful ? DOUBT_PRICE_MS : 0),
 		reason: {
-			predictedMs, keptTokens, running: target.running, othersRunning: others.running, isCold: target.isCold(nowMs), waitedMs: nowMs - ask.arrivedMs, copyFrom,
+			predictedMs,
+			keptTokens,
+			running: target.running,
+			othersRunning: others.running,
+			isCold: target.isCold(nowMs),
+			heartbeatAgeMs: nowMs - target.heardMs,
+			waitedMs: nowMs - ask.arrivedMs,
+			copyFrom,
 		},
 	};
 };
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -102,7 +102,5 @@
 	| {readonly kind: 'target-gone'; readonly id: string}
 	/** Data centres that operators have taken out. */
 	| {readonly kind: 'data-centres-out'; readonly names: ReadonlySet<string>}
-	/** Number of VMs in the fleet, this one included. */
-	| {readonly kind: 'fleet-size'; readonly vms: number}
 	| {readonly kind: 'source-lost'}
 	| {readonly kind: 'source-regained'};
--- a/src/runtime/entry/attempt-task.ts
+++ b/src/runtime/entry/attempt-task.ts
@@ -100,8 +100,18 @@
 		this.#onDone();
 	}
 
+	#noteFirstPart(): void {
+		const {metrics, clock} = this.#ctx;
+		const {service, arrivedMs} = this.#job;
+		metrics.firstPartTime.observe({service}, (clock.nowMs() - arrivedMs) / 1000);
+	}
+
 	#handle(message: AttemptMessage): readonly AttemptEffect[] {
 		const before = this.#state;
+		if (message.kind === 'delivering' && !before.delivering) {
+			this.#noteFirstPart();
+		}
+
 		const step = handleAttempt(before, message, this.#spec, this.#ctx.clock.nowMs());
 		this.#state = step.state;
 		this.#ctx.register?.update(this.#job, step.state);
--- a/src/runtime/observe/metrics.ts
+++ b/src/runtime/observe/metrics.ts
@@ -46,6 +46,13 @@
 		answerTime: new Histogram({
 			name: 'jackdawwood_answer_seconds', help: 'From arrival to the end of the answer.', labelNames, buckets: DURATION_BUCKETS_S, registers,
 		}),
+		firstPartTime: new Histogram({
+			name: 'jackdawwood_first_part_seconds', help: 'From arrival to the first part of the answer.', labelNames, buckets: DURATION_BUCKETS_S, registers,
+		}),
+		storeCallTime: new Histogram({
+			name: 'jackdawwood_store_call_seconds', help: 'Calls to the store, with the time that they wait for changes.', labelNames: ['call', 'result'] as const,
+			buckets: DURATION_BUCKETS_S, registers,
+		}),
 		claimTime: new Histogram({
 			name: 'jackdawwood_claim_seconds', help: 'From the wish to claim a key to the result.', buckets: DURATION_BUCKETS_S, registers,
 		}),
@@ -74,6 +81,15 @@
 		leases: new Gauge({
 			name: 'jackdawwood_leases_held', help: 'Pools that this VM dispatches.', registers,
 		}),
+		targetsKnown: new Gauge({
+			name: 'jackdawwood_targets_known', help: 'Targets that this VM knows of.', registers,
+		}),
+		fleetNewsAge: new Gauge({
+			name: 'jackdawwood_fleet_news_age_seconds', help: 'Time since the source of fleet news was last heard.', registers,
+		}),
+		vmsHeard: new Gauge({
+			name: 'jackdawwood_vms_heard', help: 'Other VMs whose load reports are fresh.', registers,
+		}),
 		configVersion: new Gauge({
 			name: 'jackdawwood_config_version', help: 'Configuration version in force.', registers,
 		}),
--- a/src/runtime/routing/fleet-view.ts
+++ b/src/runtime/routing/fleet-view.ts
@@ -97,10 +97,6 @@
 					log.warn(news.kind === 'source-lost' ? 'fleet source lost' : 'fleet source regained', {config_version: inForce?.config.version});
 					return [];
 				}
-
-				case 'fleet-size': {
-					return [news];
-				}
 			}
 		},
 	};
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -72,8 +72,19 @@
 
 			const {target, grantId, because} = effect;
 			log.routine('request placed', {
-				request_id: effect.ask.requestId, service, target: target.id, predicted_ms: Math.round(because.predictedMs), kept_tokens: because.keptTokens,
-				running: because.running, others: because.othersRunning, cold: because.isCold, copy_from: because.copyFrom?.id, waited_ms: Math.round(because.waitedMs),
+				request_id: effect.ask.requestId,
+				service,
+				target: target.id,
+				predicted_ms: Math.round(because.predictedMs),
+				kept_tokens: because.keptTokens,
+				copy_from: because.copyFrom?.id,
+				running: because.running,
+				others: because.othersRunning,
+				cold: because.isCold,
+				heartbeat_age_ms: Math.round(because.heartbeatAgeMs),
+				vms_heard: loads.heard,
+				config_version: view.inForce()?.config.version,
+				waited_ms: Math.round(because.waitedMs),
 			});
 			serviceOfGrant.set(grantId, service);
 			waiter?.resolve({
@@ -191,7 +202,6 @@
 				}
 
 				case 'all-targets':
-				case 'fleet-size':
 				case 'source-lost':
 				case 'source-regained': {
 					break;
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -76,7 +76,9 @@
 	noDelay: true,
 });
 
-const startStatus = async ({ready, metricsAddress, metrics}: RoutingOptions, isReady: () => boolean): Promise<readonly http.Server[]> => {
+type Status = {readonly isReady: () => boolean; readonly loads: FleetLoads};
+
+const startStatus = async ({ready, metricsAddress, metrics, source}: RoutingOptions, {isReady, loads}: Status): Promise<readonly http.Server[]> => {
 	const readyServer = http.createServer();
 	const metricsServer = http.createServer();
 	readyServer.on('request', polka({server: readyServer})
@@ -86,6 +88,8 @@
 		.handler);
 	metricsServer.on('request', polka({server: metricsServer})
 		.get('/metrics', async (_req, res) => {
+			metrics.vmsHeard.set(loads.heard);
+			metrics.fleetNewsAge.set(source.newsAgeMs() / 1000);
 			res.writeHead(200, {'content-type': metrics.registry.contentType}).end(await metrics.registry.metrics());
 		})
 		.handler);
@@ -150,17 +154,19 @@
 	});
 
 	const isReady = () => !isLeaving && view.isComplete();
-	const statusServers = await startStatus(options, isReady);
+	const statusServers = await startStatus(options, {isReady, loads});
 	const address = await listen(server, options.callers);
 	log.info('started', {vm, data_centre: dataCentre, callers: address});
 	source.start(news => {
 		for (const change of view.apply(news)) {
 			scheduler.onNews(change);
 			if (change.kind === 'config') {
+				metrics.configVersion.set(change.config.version);
 				server.keepAliveTimeout = change.config.limits.idleTimeoutMs;
 			}
 		}
 
+		metrics.targetsKnown.set(view.targets().size);
 		if (!wasReady && isReady()) {
 			wasReady = true;
 			log.info('ready', {config_version: view.inForce()?.config.version, targets: view.targets().size});
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -59,6 +59,8 @@
 export type FleetSource = {
 	readonly start: (listener: (news: FleetNews) => void) => void;
 	readonly stop: () => Promise<void>;
+	/** Milliseconds since the source was last heard. */
+	readonly newsAgeMs: () => number;
 };
 
 /** A request with the route that it takes. */
--- a/xo.config.js
+++ b/xo.config.js
@@ -40,6 +40,15 @@
 			'no-restricted-syntax': ['error', {selector: 'NewExpression[callee.name="Date"][arguments.length=0]', message: 'Take nowMs as an argument.'}],
 		},
 	},
+	{
+		files: ['src/**/*.ts', 'tools/**/*.ts'],
+		ignores: decisionCode,
+		rules: {
+			'no-restricted-imports': ['error', {
+				patterns: [{regex: String.raw`^(\.\./)+platform/(caller|target|store|fleet|decode|start|main)`, message: 'The platform\'s protocol stays in platform/ at the root: take a port.'}],
+			}],
+		},
+	},
 	{
 		files: ['test/**/*.ts'],
 		rules: {'ava/no-ignored-test-files': 'off'},
