--- a/src/cli/client/client-errors-data.ts
+++ b/src/cli/client/client-errors-data.ts
@@ -35,3 +35,10 @@
 	message: () => 'no statement was given',
 	hint: 'Give it as arguments, or one a line through a pipe.',
 } as const satisfies ErrorData;
+
+export const RequestNotLogged = {
+	name: 'RequestNotLogged',
+	title: 'The request is not in these logs.',
+	message: ({requestId, lines}) => `None of ${lines} log lines names request ${requestId}.`,
+	hint: 'Give the lines of all routers of its time; lines of requests that went well are dropped first when logs cannot be written fast enough.',
+} as const satisfies ErrorData;
--- a/src/cli/client/help.ts
+++ b/src/cli/client/help.ts
@@ -4,7 +4,7 @@
 	DEFAULT_ROUTER, DEFAULT_TIMEOUT_MS, ROUTER_VARIABLE, TOKEN_VARIABLE,
 } from './access.js';
 
-export const commandNames = ['check-settings', 'query', 'do', 'prompt', 'hash-token'] as const;
+export const commandNames = ['check-settings', 'query', 'do', 'prompt', 'explain', 'hash-token'] as const;
 
 export type CommandName = typeof commandNames[number];
 
@@ -22,6 +22,7 @@
   query [STATEMENT]    ask what the fleet is doing
   do [STATEMENT]       change the fleet configuration
   prompt               type queries and commands line by line
+  explain ID           tell from log lines what became of a request
   hash-token           print the hash of a token read from the standard input
 
 Options
@@ -32,6 +33,16 @@
 `;
 
 export const commandHelp: Readonly<Record<CommandName, string>> = {
+	explain: `
+Usage
+  $ cat LOGS | jackdawwood explain ID
+
+Prints the lines that bear on the request, oldest first, and the one that decided. The
+lines of several routers may come in any order.
+
+Options
+  --json  print JSON, for scripts
+`,
 	'check-settings': `
 Usage
   $ jackdawwood check-settings FILE
--- a/src/cli/client/run-client.ts
+++ b/src/cli/client/run-client.ts
@@ -2,6 +2,7 @@
 import meow from 'meow';
 import {checkSettingsFile} from '../check-settings/run.js';
 import {runDo} from '../do/run.js';
+import {explain} from '../explain/run.js';
 import {EXIT_USAGE} from '../exit-codes.js';
 import {hashToken} from '../hash-token/run.js';
 import {runPrompt} from '../prompt/run.js';
@@ -63,6 +64,16 @@
 			return runPrompt(await statementOptions(line, io), io);
 		}
 
+		case 'explain': {
+			const [requestId] = line.input;
+			if (requestId === undefined || line.input.length > 1) {
+				io.writeError(commandHelp[name]);
+				return EXIT_USAGE;
+			}
+
+			return explain(requestId, line.flags, io);
+		}
+
 		case 'hash-token': {
 			return hashToken(line.flags, io);
 		}
--- /dev/null
+++ b/src/core/explain/explain-request.ts
@@ -0,0 +1,81 @@
+/**
+ * Tells from log lines what became of one request: its own lines, and what the VM came
+ * to believe of the request's targets, the configuration and the platform shortly before.
+ */
+import * as z from 'zod';
+
+/** Milliseconds before the request's first line from which beliefs are shown. */
+const BELIEFS_BEFORE_MS = 5000;
+
+const lineSchema = z.looseObject({
+	time: z.string(),
+	level: z.string(),
+	event: z.string(),
+	vm: z.string().optional(),
+	request_id: z.string().optional(),
+	target: z.string().optional(),
+});
+
+/** One log line. */
+export type LogLine = z.output<typeof lineSchema>;
+
+export type Explanation = {
+	/** Lines that bear on the request, oldest first. */
+	readonly lines: readonly LogLine[];
+	/** The line that decided the outcome; undefined when nothing is known of the request. */
+	readonly decidedBy: LogLine | undefined;
+};
+
+/** Events after which a VM believes something else, of one target or of everything. */
+const beliefEvents: ReadonlySet<string> = new Set([
+	'target state',
+	'target gone',
+	'target unreachable',
+	'configuration in force',
+	'data centres out',
+	'fleet source lost',
+	'fleet source regained',
+	'store call failed',
+	'started',
+	'leaving',
+	'log lines dropped',
+]);
+
+/** Events that end a request, or say why it ended as it did; the last but one of them decided. */
+const decisions: ReadonlySet<string> = new Set(['request not placed', 'request refused', 'call broke', 'answer not used']);
+
+/** Parses a log line, which may follow a prefix such as a time or a machine's name. */
+export const parseLogLine = (text: string): LogLine | undefined => {
+	const start = text.indexOf('{');
+	if (start === -1) {
+		return undefined;
+	}
+
+	try {
+		return lineSchema.safeParse(JSON.parse(text.slice(start))).data;
+	} catch {
+		return undefined;
+	}
+};
+
+const timeOf = ({time}: LogLine): number => Date.parse(time);
+
+/** Explains a request from the lines of all VMs, in any order. */
+export const explainRequest = (requestId: string, lines: readonly LogLine[]): Explanation => {
+	const own = lines.filter(line => line.request_id === requestId).toSorted((a, b) => timeOf(a) - timeOf(b));
+	const [first] = own;
+	const last = own.at(-1);
+	if (!first || !last) {
+		return {lines: [], decidedBy: undefined};
+	}
+
+	const vms = new Set(own.map(({vm}) => vm));
+	const targets = new Set(own.flatMap(({target}) => target ?? []));
+	const beliefs = lines.filter(line => beliefEvents.has(line.event) && vms.has(line.vm)
+		&& timeOf(line) >= timeOf(first) - BELIEFS_BEFORE_MS && timeOf(line) <= timeOf(last)
+		&& (line.target === undefined || targets.has(line.target)));
+	return {
+		lines: [...beliefs, ...own].toSorted((a, b) => timeOf(a) - timeOf(b)),
+		decidedBy: own.find(({event}) => decisions.has(event)) ?? last,
+	};
+};
--- /dev/null
+++ b/test/observe/line-writer.test.ts
@@ -0,0 +1,76 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {createLineWriter, type WriteText} from '../../src/runtime/observe/line-writer.js';
+import {createLog} from '../../src/runtime/observe/log.js';
+
+/** A reader that takes nothing until it is told to. */
+const createReader = () => {
+	const texts: string[] = [];
+	let done: (() => void) | undefined;
+	const write: WriteText = (text, written) => {
+		texts.push(text);
+		done = () => {
+			written(undefined);
+		};
+	};
+
+	return {
+		write,
+		texts,
+		take() {
+			done?.();
+		},
+	};
+};
+
+const soon = async () => new Promise(resolve => {
+	setTimeout(resolve, 5);
+});
+
+test('a reader that stalls holds up nothing, and what was dropped is told', async t => {
+	const reader = createReader();
+	const lines = createLineWriter({write: reader.write, maxHeldBytes: 1000, gatherMs: 0});
+	lines.write('first\n', true);
+	await soon();
+	for (let count = 0; count < 100; count++) {
+		lines.write(`routine ${String(count).padStart(11)}\n`, true);
+	}
+
+	for (let count = 0; count < 10; count++) {
+		lines.write(`failure ${String(count).padStart(11)}\n`, false);
+	}
+
+	await soon();
+	t.deepEqual(reader.texts, ['first\n'], 'one write at a time');
+	reader.take();
+	await soon();
+	const [, second = ''] = reader.texts;
+	t.is(second.match(/^failure/gmv)?.length, 10);
+	t.is(second.match(/^routine/gmv)?.length, 25);
+	t.regex(second, /"event":"log lines dropped","routine":75,"other":0/v);
+});
+
+test('however lines come, no more than the bound is held', t => {
+	const check = () => {
+		fc.assert(fc.property(fc.array(fc.tuple(fc.integer({min: 1, max: 300}), fc.boolean()), {maxLength: 200}), list => {
+			const lines = createLineWriter({write: () => undefined, maxHeldBytes: 2000, gatherMs: 0});
+			for (const [size, isRoutine] of list) {
+				lines.write('x'.repeat(size), isRoutine);
+			}
+
+			return lines.takeHeld().replace(/\{.*/v, '').length <= 2000;
+		}), {seed: 4, numRuns: 100});
+	};
+
+	t.notThrows(check);
+});
+
+test('lines of what went well are marked as routine', t => {
+	const written: Array<readonly [string, boolean]> = [];
+	const log = createLog('info', (line, isRoutine) => {
+		written.push([/"event":"(?<event>[^"]*)"/v.exec(line)?.groups?.event ?? '', isRoutine]);
+	});
+	log.routine('request placed', {request_id: 'r'});
+	log.info('request refused', {request_id: 'r'});
+	t.deepEqual(written, [['request placed', true], ['request refused', false]]);
+});
--- /dev/null
+++ b/test/platform/decode.test.ts
@@ -0,0 +1,49 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {decodeConfig} from '../../platform/decode-config.js';
+import {decodeTarget} from '../../platform/decode-target.js';
+import {targetWire} from '../../platform/target-wire.js';
+import {configOf} from './_platform.js';
+
+const bytesOf = (value: unknown) => new TextEncoder().encode(JSON.stringify(value));
+
+test('a configuration is decoded into the product\'s words', t => {
+	const {routes, ...config} = decodeConfig(bytesOf(configOf(7)));
+	t.snapshot({
+		routes: routes.slice(0, 2), ...config, services: [...config.services.values()], teamsByKey: [...config.teamsByKey ?? []],
+	});
+});
+
+test('a split route has its services by weight', t => {
+	const split = [{service: 'a', weight: 90}, {service: 'b', weight: 10}];
+	const wire = configOf(7);
+	const {routes} = decodeConfig(bytesOf({...wire, routes: wire.routes.map(route => ({...route, service: undefined, traffic_split: split}))}));
+	t.deepEqual(routes[0]?.services, split);
+});
+
+test('fields that are not known are ignored', t => {
+	t.is(decodeConfig(bytesOf({...configOf(8), something: 1})).version, 8);
+});
+
+test('no bytes of another writer throw or name a target with a field of another type', t => {
+	const check = () => {
+		fc.assert(fc.property(fc.uint8Array({maxLength: 200}), bytes => decodeTarget('x', bytes) === undefined), {seed: 5, numRuns: 300});
+		fc.assert(fc.property(fc.jsonValue(), value => decodeTarget('x', bytesOf(value)) === undefined), {seed: 6, numRuns: 300});
+	};
+
+	t.notThrows(check);
+});
+
+test('what an answer is follows from its id before its status', t => {
+	const own = {'x-attempt-id': 'r', 'x-server-stamp': 's'};
+	const other = {...own, 'x-attempt-id': 'other'};
+	t.deepEqual([
+		targetWire.classify('r', 200, own),
+		targetWire.classify('r', 500, own),
+		targetWire.classify('r', 503, {...own, 'x-not-executed': '1'}),
+		targetWire.classify('r', 421, own),
+		targetWire.classify('r', 503, {...other, 'x-not-executed': '1'}),
+		targetWire.classify('r', 421, other),
+		targetWire.classify('r', 200, {'x-attempt-id': 'r'}),
+	], ['answer', 'error', 'declined', 'misdirected', 'crossed', 'crossed', 'crossed']);
+});
