--- a/src/core/attempt/attempt.ts
+++ b/src/core/attempt/attempt.ts
@@ -22,7 +22,7 @@
 const RETRY_AFTER_MS = 1000;
 
 export const initialAttempt: AttemptState = {
-	kind: 'claiming', delivering: false, callerLeft: false, mayHaveRun: false, retries: 0, sends: 0,
+	kind: 'claiming', delivering: false, callerLeft: false, mayHaveRun: false, retries: 0, sends: 0, holdsError: false,
 };
 
 type Message<Kind extends AttemptMessage['kind']> = Extract<AttemptMessage, {kind: Kind}>;
@@ -106,7 +106,11 @@
 const onGranted = (state: AttemptState, message: Message<'granted'>): AttemptStep => {
 	const {grant} = message;
 	return state.kind === 'queued'
-		? {state: {...state, kind: 'granted', grant}, effects: [{kind: 'call', grant}]}
+		? {
+			state: {
+				...state, kind: 'granted', grant, holdsError: false,
+			}, effects: [{kind: 'call', grant}],
+		}
 		: {state, effects: [{kind: 'end-grant', grant, result: {...unsent, answerMs: 0}}]};
 };
 
@@ -153,7 +157,7 @@
 	const before = endGrant(state, nowMs, {kind: 'failed', cost: 0, ...(instance && {instance})});
 	const mayRepeat = spec.repeat === 'safe' && !state.callerLeft && hasTargetLeft(state, spec) && spec.takeRetry(nowMs);
 	return mayRepeat
-		? askAgain('error-answer', before)({...state, mayHaveRun: true}, spec, nowMs)
+		? askAgain('error-answer', before)({...state, mayHaveRun: true, holdsError: true}, spec, nowMs)
 		: end(state, 'answered', [...before, ...(state.callerLeft ? [] : [{kind: 'deliver-error'} as const])]);
 };
 
@@ -165,6 +169,15 @@
 		: stay(state);
 };
 
+/** A failure that a target answered tells the caller more than that no other target was found. */
+const onRejected = (state: AttemptState, refusal: RefusalError): AttemptStep => {
+	if (state.kind !== 'queued') {
+		return stay(state);
+	}
+
+	return state.holdsError ? end(state, 'answered', [{kind: 'deliver-error'}]) : refuse(state, refusal, []);
+};
+
 const brokenRefusal = (state: AttemptState, spec: AttemptSpec, reason: string): RefusalError => {
 	const data: RefusalData = spec.repeat === 'never' ? OutcomeUnknown : AnswerBroken;
 	return new RefusalError(data, {reason: state.delivering ? `${reason} in mid-answer` : reason});
@@ -259,7 +272,7 @@
 		}
 
 		case 'rejected': {
-			return state.kind === 'queued' ? refuse(state, message.refusal, []) : stay(state);
+			return onRejected(state, message.refusal);
 		}
 
 		case 'writing': {
--- a/src/core/placement/placed-target.ts
+++ b/src/core/placement/placed-target.ts
@@ -13,8 +13,8 @@
 /** Milliseconds for which a target is passed over after its first failure in a row, and at most. */
 const PASS_OVER_MS = 250;
 const MAX_PASS_OVER_MS = 2000;
-/** Heartbeats that a target must send after its connections broke before it counts as the same, warm process. */
-const CONFIRMING_HEARTBEATS = 2;
+/** Milliseconds added to the time for which a target that answers again may be cold, for the way of its answer. */
+const DOUBT_MARGIN_MS = 500;
 
 /** A request that was sent and has not ended. */
 export type Placed = {
@@ -35,8 +35,12 @@
 	readonly #coldGate: RateGate = createRateGate(COLD_WINDOW_MS);
 	#coldUntilMs: number;
 	#heardMs: number;
-	/** Heartbeats still to be seen before the target counts as warm again; 0 when none. */
-	#unconfirmed = 0;
+	/**
+	 * Present since all connections broke: the process may have been replaced by a cold
+	 * one. An entry is written again only when more than its sequence changes, so the
+	 * target's own answers have to show that it lives.
+	 */
+	#doubt: {readonly answeredMs: number | undefined} | undefined;
 	#failuresInRow = 0;
 	#passOverUntilMs = -Infinity;
 	#load: (ReportedLoad & {readonly atMs: number; readonly own: number}) | undefined;
@@ -80,12 +84,10 @@
 		this.record = record;
 		if (restarted) {
 			this.isMisdirected = false;
-			this.#unconfirmed = 0;
+			this.#doubt = undefined;
 			this.#passOverUntilMs = nowMs;
 			this.#failuresInRow = 0;
 			this.#load = undefined;
-		} else if (isNews) {
-			this.#unconfirmed = Math.max(0, this.#unconfirmed - 1);
 		}
 
 		if (isNews) {
@@ -97,12 +99,12 @@
 	}
 
 	isCold(nowMs: number): boolean {
-		return this.#unconfirmed > 0 || nowMs < this.#coldUntilMs;
+		return this.#doubt !== undefined || nowMs < this.#coldUntilMs;
 	}
 
-	/** Whether its connections broke and no heartbeat has shown since that it lives. */
+	/** Whether its connections broke and no answer has shown since that it lives. */
 	get isDoubtful(): boolean {
-		return this.#unconfirmed > 0;
+		return this.#doubt !== undefined && this.#doubt.answeredMs === undefined;
 	}
 
 	/** Whether a cold target may get one more request, of `limit` in a second. */
@@ -173,6 +175,18 @@
 
 	/** All connections broke, or none can be opened: the process may come back cold. */
 	noteUnreachable(): void {
-		this.#unconfirmed = CONFIRMING_HEARTBEATS;
+		this.#doubt = {answeredMs: undefined};
+	}
+
+	/**
+	 * The target has begun to answer. If it was replaced, that was before, so it is warm
+	 * when the time of a cold start has passed since.
+	 */
+	noteAlive(coldStartMs: number, nowMs: number): void {
+		if (this.#doubt?.answeredMs === undefined) {
+			this.#doubt &&= {answeredMs: nowMs};
+		} else if (nowMs >= this.#doubt.answeredMs + coldStartMs + DOUBT_MARGIN_MS) {
+			this.#doubt = undefined;
+		}
 	}
 }
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -189,6 +189,7 @@
 			target.noteFailed(nowMs);
 		} else if (result.kind === 'answered') {
 			target.noteAnswered();
+			target.noteAlive(this.#service.coldStartMs, nowMs);
 		}
 	}
 
@@ -200,11 +201,13 @@
 
 		switch (observation.kind) {
 			case 'load': {
+				target.noteAlive(this.#service.coldStartMs, nowMs);
 				target.noteLoad(observation.load, nowMs);
 				break;
 			}
 
 			case 'first-token': {
+				target.noteAlive(this.#service.coldStartMs, nowMs);
 				const backlog = target.readingTokens;
 				const placed = target.noteFirstToken(grantId);
 				if (placed) {
--- a/test/attempt/routed.test.ts
+++ b/test/attempt/routed.test.ts
@@ -2,6 +2,8 @@
 import {handleAttempt, initialAttempt} from '../../src/core/attempt/attempt.js';
 import {type AttemptMessage, type AttemptSpec, type AttemptState} from '../../src/core/attempt/types.js';
 import {type Grant} from '../../src/core/dispatch/types.js';
+import {RefusalError} from '../../src/core/errors/refusal-error.js';
+import {NoTarget} from '../../src/core/errors/refusals-data.js';
 
 const grant: Grant = {
 	grantId: 'g', target: 't', address: '127.0.0.1:1', epoch: 0n, instance: 't', expiresAtMs: 1000,
@@ -67,3 +69,10 @@
 		t.is(run(messages, spec(changes)).state.kind, 'sent');
 	}
 });
+
+test('a failure that a target answered is passed on when no other target is found', t => {
+	const {state, kinds} = run([...first, {kind: 'error-answer'}, {kind: 'rejected', refusal: new RefusalError(NoTarget, {service: 's'})}], spec());
+	t.is(state.kind, 'ended');
+	t.true(kinds.includes('deliver-error'));
+	t.false(kinds.some(kind => kind.startsWith('refuse')));
+});
