--- a/test/platform/whole-path.test.ts
+++ b/test/platform/whole-path.test.ts
@@ -138,7 +138,7 @@
 	}
 
 	const res = await call('/debit/1', post);
-	t.true(res.cut || res.status === 502, `status ${res.status}, cut ${res.cut}, body ${res.body}`);
+	t.true(res.cut || res.status === 502);
 });
 
 test('a target that stays silent is left for another one', async t => {
