One piece for what the routing path wrote again; a count that forgets

Cause of the one defect found: the window of the cold limit dropped old events only when a cold target was asked about, so it grew with every request to a warm one. The shared count drops them as it adds. At the edge of the window it keeps an event one reading longer, which is the stricter side for the cold limit and what the retry share did already. Keys of a prompt's shared parts are made once for an ask, not once for each target.

--- a/src/core/placement/fleet-loads.ts
+++ b/src/core/placement/fleet-loads.ts
@@ -32,13 +32,14 @@
 };
 
 type Report = {readonly loads: VmLoads; readonly atMs: number};
-type Sum = Omit<TargetLoad, 'target'>;
+/** Requests at a target, whichever it is. */
+export type Load = Omit<TargetLoad, 'target'>;
 
-const NOTHING: Sum = {running: 0, readingTokens: 0, heldTokens: 0};
+const NOTHING: Load = {running: 0, readingTokens: 0, heldTokens: 0};
 
 export class FleetLoads {
 	readonly #reports = new Map<string, Report>();
-	readonly #sums = new Map<string, Sum>();
+	readonly #sums = new Map<string, Load>();
 
 	/** Takes in a report; one that is older than the last is ignored. */
 	take(loads: VmLoads, nowMs: number): void {
@@ -69,7 +70,7 @@
 	}
 
 	/** All other VMs' requests at a target. */
-	at(target: string): Sum {
+	at(target: string): Load {
 		return this.#sums.get(target) ?? NOTHING;
 	}
 
--- a/src/core/placement/placed-target.ts
+++ b/src/core/placement/placed-target.ts
@@ -4,7 +4,7 @@
  */
 import {type ReportedLoad} from '../dispatch/types.js';
 import {type TargetRecord} from '../routing/types.js';
-import {createRateGate, type RateGate} from './rate-gate.js';
+import {createSlidingCount, type SlidingCount} from './sliding-count.js';
 
 /** Milliseconds for which a load report is taken into account. */
 const LOAD_VALID_MS = 2000;
@@ -32,7 +32,7 @@
 	/** Addresses are reused: true while this one answers for another process. */
 	isMisdirected = false;
 	readonly #placed = new Map<string, Placed>();
-	readonly #coldGate: RateGate = createRateGate(COLD_WINDOW_MS);
+	readonly #started: SlidingCount = createSlidingCount(COLD_WINDOW_MS);
 	#coldUntilMs: number;
 	#heardMs: number;
 	/**
@@ -109,7 +109,7 @@
 
 	/** Whether a cold target may get one more request, of `limit` in a second. */
 	hasColdRoom(limit: number, nowMs: number): boolean {
-		return this.#coldGate.isOpen(limit, nowMs);
+		return this.#started.size(nowMs) < limit;
 	}
 
 	isPassedOver(nowMs: number): boolean {
@@ -132,7 +132,7 @@
 		this.#placed.set(grantId, placed);
 		this.#readingTokens += placed.newTokens;
 		this.#heldTokens += placed.heldTokens;
-		this.#coldGate.count(nowMs);
+		this.#started.add(nowMs);
 	}
 
 	/** The prompt has been read; returns the request as it was. */
--- a/src/core/placement/prompt-record.ts
+++ b/src/core/placement/prompt-record.ts
@@ -10,8 +10,8 @@
 const SWEEP_AT = 4000;
 
 export type PromptRecord = {
-	/** Leading tokens of the prompt that the target is taken to keep. */
-	readonly keptTokens: (target: string, prompt: Prompt, nowMs: number) => number;
+	/** Leading tokens of the prompt that the target is taken to keep, by the prompt's `sharedKeys`. */
+	readonly keptTokens: (target: string, prompt: Prompt, keys: readonly string[], nowMs: number) => number;
 	readonly noteSent: (target: string, prompt: Prompt, nowMs: number) => void;
 	/** Forgets a target that lost its memory. */
 	readonly forget: (target: string) => void;
@@ -41,16 +41,16 @@
 	};
 
 	return {
-		keptTokens(target, prompt, nowMs) {
-			const keys = sentMs.get(target);
+		keptTokens(target, {parts}, keys, nowMs) {
+			const sent = sentMs.get(target);
 			let tokens = 0;
-			for (const [index, key] of sharedKeys(prompt).entries()) {
-				const time = keys?.get(key);
+			for (const [index, key] of keys.entries()) {
+				const time = sent?.get(key);
 				if (time === undefined || time < nowMs - KEPT_MS) {
 					break;
 				}
 
-				tokens += prompt.parts[index]?.tokens ?? 0;
+				tokens += parts[index]?.tokens ?? 0;
 			}
 
 			return tokens;
--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -1,7 +1,7 @@
 /** Chooses the target at which a request costs least, among those that can start it in time. */
 import {hash32} from '../membership/rendezvous.js';
 import {type RoutedService, type TargetRecord} from '../routing/types.js';
-import {type FleetLoads, type TargetLoad} from './fleet-loads.js';
+import {type FleetLoads, type Load} from './fleet-loads.js';
 import {type PlacementReason} from './messages.js';
 import {type PlacedTarget} from './placed-target.js';
 import {sharedKeys, type PromptRecord} from './prompt-record.js';
@@ -67,8 +67,6 @@
 	readonly nowMs: number;
 };
 
-type Load = Omit<TargetLoad, 'target'>;
-
 /** Other VMs' requests at a target: as they report, or as its answers tell while VMs are not heard. */
 const othersAt = (target: PlacedTarget, {fleet, hearsFleet, averageNewTokens, nowMs}: ChoiceContext): Load => {
 	const reported = fleet.at(target.record.id);
@@ -103,8 +101,8 @@
 	|| predictedMs - ownMs <= Math.min(targetLatencyMs * LARGE_BACKLOG_SHARE, ownMs);
 
 /** The home of a prompt's shared parts, which all VMs choose alike by a hash. */
-const keeperOf = ({prompt}: PlacedAsk, {service, homes, homeOfPrompt}: ChoiceContext): Keeper | undefined => {
-	const key = prompt && sharedKeys(prompt).at(-1);
+const keeperOf = ({prompt}: PlacedAsk, keys: readonly string[], {service, homes, homeOfPrompt}: ChoiceContext): Keeper | undefined => {
+	const key = keys.at(-1);
 	if (!prompt || key === undefined || !service.engine?.canCopyPrompts) {
 		return undefined;
 	}
@@ -128,10 +126,19 @@
 	return home && {target: home, tokens: prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)};
 };
 
-const candidateAt = (target: PlacedTarget, {ask, keeper, others}: {readonly ask: PlacedAsk; readonly keeper: Keeper | undefined; readonly others: Load}, ctx: ChoiceContext): Candidate => {
+/** What is compared at each target for one ask. */
+type Consideration = {
+	readonly ask: PlacedAsk;
+	/** The prompt's `sharedKeys`. */
+	readonly keys: readonly string[];
+	readonly keeper: Keeper | undefined;
+	readonly others: Load;
+};
+
+const candidateAt = (target: PlacedTarget, {ask, keys, keeper, others}: Consideration, ctx: ChoiceContext): Candidate => {
 	const {prompt} = ask;
 	const {prompts, tokensPerMs, dataCentre, nowMs} = ctx;
-	const own = prompt ? prompts.keptTokens(target.record.id, prompt, nowMs) : 0;
+	const own = prompt ? prompts.keptTokens(target.record.id, prompt, keys, nowMs) : 0;
 	const isKeeper = keeper?.target === target;
 	const copies = keeper !== undefined && !isKeeper && keeper.tokens >= own + MIN_COPY_TOKENS;
 	const keptTokens = isKeeper || copies ? Math.max(own, keeper.tokens) : own;
@@ -174,7 +181,8 @@
 
 /** The best target that can start the request now. */
 export const chooseTarget = (ask: PlacedAsk, ctx: ChoiceContext): Candidate | undefined => {
-	const keeper = keeperOf(ask, ctx);
+	const keys = ask.prompt ? sharedKeys(ask.prompt) : [];
+	const keeper = keeperOf(ask, keys, ctx);
 	let best: Candidate | undefined;
 	for (const target of untried(ask, ctx)) {
 		const others = othersAt(target, ctx);
@@ -182,7 +190,9 @@
 			continue;
 		}
 
-		const candidate = candidateAt(target, {ask, keeper, others}, ctx);
+		const candidate = candidateAt(target, {
+			ask, keys, keeper, others,
+		}, ctx);
 		if (startsInTime(ask, candidate.reason, candidate.newTokens / ctx.tokensPerMs) && (!best || candidate.price < best.price)) {
 			best = candidate;
 		}
--- a/src/runtime/admin/start-admin.ts
+++ b/src/runtime/admin/start-admin.ts
@@ -1,9 +1,9 @@
 /** The operators' HTTP interface of one VM: statements, health and metrics. */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
-import {isIP, type AddressInfo} from 'node:net';
 import {once} from 'node:events';
 import polka from 'polka';
 import {JackdawwoodError} from '../../core/errors/jackdawwood-error.js';
+import {listen} from '../entry/listen.js';
 import {parseAddress} from '../router/parse-address.js';
 import {AdminPathUnknown} from './admin-errors-data.js';
 import {sendError, sendJson} from './answer.js';
@@ -81,20 +81,11 @@
 	server.on('request', app.handler);
 };
 
-const addressText = ({address, port}: AddressInfo): string => isIP(address) === 6 ? `[${address}]:${port}` : `${address}:${port}`;
-
-const listen = async (server: http.Server, address: string): Promise<string> => {
-	server.listen(parseAddress(address));
-	await once(server, 'listening');
-	const bound = server.address();
-	return typeof bound === 'object' && bound !== null ? addressText(bound) : address;
-};
-
 /** Starts to listen. Rejects when the address cannot be bound. */
 export const startAdmin = async (options: AdminOptions): Promise<Admin> => {
 	const server = http.createServer({headersTimeout: READ_TIMEOUT_MS, requestTimeout: READ_TIMEOUT_MS});
 	route(server, options);
-	const address = await listen(server, options.address);
+	const address = await listen(server, parseAddress(options.address));
 	return {
 		address,
 		async close() {
--- a/src/runtime/entry/attempt-task.ts
+++ b/src/runtime/entry/attempt-task.ts
@@ -9,8 +9,9 @@
 } from '../../core/attempt/types.js';
 import {type Grant, type PendingAsk} from '../../core/dispatch/types.js';
 import {RefusalError} from '../../core/errors/refusal-error.js';
-import {InternalFault, OutcomeUnknown} from '../../core/errors/refusals-data.js';
+import {OutcomeUnknown} from '../../core/errors/refusals-data.js';
 import {type Claim} from '../claims/types.js';
+import {asRefusal} from './as-refusal.js';
 import {type AttemptContext} from './attempt-context.js';
 import {askOf, specOf} from './attempt-inputs.js';
 import {type CallerAnswer} from './caller-answer.js';
@@ -20,9 +21,6 @@
 
 type Effect<Kind extends AttemptEffect['kind']> = Extract<AttemptEffect, {kind: Kind}>;
 
-const asRefusal = (err: unknown): RefusalError =>
-	err instanceof RefusalError ? err : new RefusalError(InternalFault, {}, err instanceof Error ? {cause: err} : {});
-
 const isWaiting = ({kind}: AttemptState): boolean => kind === 'claiming' || kind === 'queued';
 
 /** Calls in the product's own protocol. */
--- a/src/runtime/entry/handle-request.ts
+++ b/src/runtime/entry/handle-request.ts
@@ -2,8 +2,9 @@
 import {randomUUID} from 'node:crypto';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {RefusalError} from '../../core/errors/refusal-error.js';
-import {InternalFault, NotReady} from '../../core/errors/refusals-data.js';
+import {NotReady} from '../../core/errors/refusals-data.js';
 import {type RefusedRequest} from '../observe/request-register.js';
+import {asRefusal} from './as-refusal.js';
 import {type AttemptContext} from './attempt-context.js';
 import {runAttempt} from './attempt-task.js';
 import {authenticate} from './authenticate.js';
@@ -96,7 +97,7 @@
 	ctx: Pick<AttemptContext, 'metrics' | 'register' | 'log' | 'limits'>,
 	request: RefusedRequest = {},
 ): void => {
-	const refusal = err instanceof RefusalError ? err : new RefusalError(InternalFault, {}, err instanceof Error ? {cause: err} : {});
+	const refusal = asRefusal(err);
 	ctx.metrics.refusals.inc({reason: refusal.data.name, not_run: 'true'});
 	ctx.register?.countRefusal(refusal, request);
 	ctx.log.info('request refused', {request_id: requestId, reason: refusal.data.name, fault: refusal.message});
--- a/src/runtime/entry/headers.ts
+++ b/src/runtime/entry/headers.ts
@@ -3,7 +3,7 @@
 import {type Headers} from './job.js';
 
 /** Headers that concern one connection only. */
-export const hopByHop: ReadonlySet<string> = new Set([
+const hopByHop: ReadonlySet<string> = new Set([
 	'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'proxy-connection', 'expect',
 ]);
 
@@ -15,15 +15,16 @@
 /** Headers of the target that the router sets itself or keeps to itself. */
 const targetsOnly: ReadonlySet<string> = new Set(['x-request-id', 'x-instance-id', 'content-length', 'date']);
 
-const pick = (headers: IncomingHttpHeaders, dropped: ReadonlySet<string>): Headers =>
+/** All headers but the dropped ones and those that concern one connection only. */
+export const passHeaders = (headers: IncomingHttpHeaders, dropped: ReadonlySet<string>): Headers =>
 	Object.fromEntries(Object.entries(headers).flatMap(([name, value]) =>
 		value === undefined || hopByHop.has(name) || dropped.has(name) ? [] : [[name, value] as const]));
 
 /** Headers that go on to the target. The caller's token does not. */
-export const headersForTarget = (headers: IncomingHttpHeaders): Headers => pick(headers, callersOnly);
+export const headersForTarget = (headers: IncomingHttpHeaders): Headers => passHeaders(headers, callersOnly);
 
 /** Headers that go on to the caller. */
-export const headersForCaller = (headers: IncomingHttpHeaders): Headers => pick(headers, targetsOnly);
+export const headersForCaller = (headers: IncomingHttpHeaders): Headers => passHeaders(headers, targetsOnly);
 
 /** A single header value, or undefined when it is absent or repeated. */
 export const oneHeader = (headers: IncomingHttpHeaders, name: string): string | undefined => {
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -30,7 +30,7 @@
 	readonly loads: FleetLoads;
 };
 
-export type PlacementScheduler = Scheduler & {
+export type PlacementScheduler = Required<Scheduler> & {
 	readonly onNews: (news: FleetNews) => void;
 	readonly onUnreachable: (address: string) => void;
 	readonly stop: () => void;
--- a/src/runtime/routing/relay-call.ts
+++ b/src/runtime/routing/relay-call.ts
@@ -44,9 +44,15 @@
 
 const isEvents = (headers: IncomingHttpHeaders): boolean => String(headers['content-type'] ?? '').startsWith('text/event-stream');
 
-/** Whether only the end of the connection tells the end of the answer. */
-const endsWithConnection = ({'content-length': length, 'transfer-encoding': encoding}: IncomingHttpHeaders): boolean =>
-	length === undefined && encoding === undefined;
+type AnswerHead = {readonly status: number; readonly headers: IncomingHttpHeaders; readonly isError: boolean};
+
+const hasNoBody = ({status}: AnswerHead): boolean => status === 204 || status === 304;
+
+/** `until-close` when only the end of the connection tells the end of the answer. */
+const formOf = (head: AnswerHead): 'bytes' | 'until-close' => {
+	const {'content-length': length, 'transfer-encoding': encoding} = head.headers;
+	return length === undefined && encoding === undefined && !hasNoBody(head) ? 'until-close' : 'bytes';
+};
 
 class RelayCall implements RunningCall {
 	readonly #options: RelayOptions & CallOptions;
@@ -58,7 +64,7 @@
 	#isStream = false;
 	#cancelled = false;
 	#hasFirstToken = false;
-	#head: {readonly status: number; readonly headers: IncomingHttpHeaders; readonly isError: boolean} | undefined;
+	#head: AnswerHead | undefined;
 	#chunks: Uint8Array[] = [];
 	#size = 0;
 
@@ -240,14 +246,15 @@
 	}
 
 	#begin(): void {
-		const {head, progress} = {head: this.#head, progress: this.#progress};
+		const head = this.#head;
+		const progress = this.#progress;
 		if (progress.hasBegun || !head) {
 			return;
 		}
 
 		progress.hasBegun = true;
 		this.#options.tell({kind: 'delivering'});
-		progress.answer.begin(head.status, this.#options.wire.callerHeaders(head.headers), endsWithConnection(head.headers) ? 'until-close' : 'bytes');
+		progress.answer.begin(head.status, this.#options.wire.callerHeaders(head.headers), formOf(head));
 	}
 
 	#collect(chunk: Uint8Array): void {
@@ -306,14 +313,9 @@
 		if (head) {
 			const body = Buffer.concat(this.#chunks);
 			const headers = this.#options.wire.callerHeaders(head.headers);
-			if (head.status === 204 || head.status === 304) {
-				answer.begin(head.status, headers, 'bytes');
-			} else if (endsWithConnection(head.headers)) {
-				answer.begin(head.status, headers, 'until-close');
-			} else {
-				answer.begin(head.status, {...headers, 'content-length': String(body.length)}, 'bytes');
-			}
-
+			const form = formOf(head);
+			const hasLength = form === 'bytes' && !hasNoBody(head);
+			answer.begin(head.status, hasLength ? {...headers, 'content-length': String(body.length)} : headers, form);
 			answer.end(body);
 		}
 	}
--- a/src/runtime/routing/route-request.ts
+++ b/src/runtime/routing/route-request.ts
@@ -14,7 +14,7 @@
 /** Milliseconds after which a caller may find this VM ready. */
 const NOT_READY_RETRY_MS = 500;
 /** Team of requests that need no key. */
-export const OPEN_TEAM = '(open)';
+const OPEN_TEAM = '(open)';
 
 /** Finds the route and the team of a request, or throws a typed refusal. */
 export const routeRequest = (view: FleetView, head: RoutedHead, path: string): Routed => {
@@ -34,7 +34,7 @@
 		throw new RefusalError(Unauthenticated);
 	}
 
-	return {route, config, team};
+	return {route, team};
 };
 
 const repeatOf = ({kind, isResumable}: Route): ServiceConfig['repeat'] =>
--- a/src/runtime/routing/serve-request.ts
+++ b/src/runtime/routing/serve-request.ts
@@ -1,7 +1,8 @@
 /** One routed request from its first header to its end. */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {RefusalError} from '../../core/errors/refusal-error.js';
-import {InternalFault, TooManyRequests} from '../../core/errors/refusals-data.js';
+import {TooManyRequests} from '../../core/errors/refusals-data.js';
+import {asRefusal} from '../entry/as-refusal.js';
 import {type AttemptContext} from '../entry/attempt-context.js';
 import {runAttempt} from '../entry/attempt-task.js';
 import {createCallerAnswer, type CallerAnswer} from '../entry/caller-answer.js';
@@ -20,9 +21,6 @@
 	readonly random: () => number;
 };
 
-const asRefusal = (err: unknown): RefusalError =>
-	err instanceof RefusalError ? err : new RefusalError(InternalFault, {}, err instanceof Error ? {cause: err} : {});
-
 type Exchange = {readonly req: IncomingMessage; readonly answer: CallerAnswer; readonly head: RoutedHead};
 
 const refuse = ({req, answer, head}: Exchange, err: unknown, {attempts: {log, metrics}}: ServeContext): void => {
@@ -41,7 +39,7 @@
 	const arrivedMs = attempts.clock.nowMs();
 	const head = wire.readHead(req);
 	const answer = createCallerAnswer(res, head.requestId, {
-		headers: wire.answerHeaders(head.requestId),
+		headers: {},
 		writeRefusal(response, err) {
 			wire.writeRefusal(response, err, head.requestId);
 		},
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -118,9 +118,7 @@
 			return service ? Math.max(2, Math.floor(service.maxConnections * CONNECTION_SHARE / vms().length)) : DEFAULT_CONNECTIONS;
 		},
 		connectTimeoutMs: CONNECT_TIMEOUT_MS,
-		onUnreachable(address) {
-			scheduler.onUnreachable(address);
-		},
+		onUnreachable: scheduler.onUnreachable,
 	});
 	const attempts: AttemptContext = {
 		config: () => undefined,
@@ -136,10 +134,7 @@
 		retryBudget: createRetryShare(bounds, () => vms().length),
 		estimator: createCostEstimator(),
 		createCalls: createRelayCalls({
-			wire: targetWire, pool: address => pools.get(address), clock, log,
-			observe(grant, observation) {
-				scheduler.observe?.(grant, observation);
-			},
+			wire: targetWire, pool: address => pools.get(address), clock, log, observe: scheduler.observe,
 		}),
 	};
 	const ctx: ServeContext = {
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -3,7 +3,7 @@
 import {type ReportedLoad} from '../../core/dispatch/types.js';
 import {type RefusalError} from '../../core/errors/refusal-error.js';
 import {type FleetBounds} from '../../core/placement/types.js';
-import {type FleetNews, type Route, type RoutingConfig} from '../../core/routing/types.js';
+import {type FleetNews, type Route} from '../../core/routing/types.js';
 import {type Headers, type Job, type TargetRequest} from '../entry/job.js';
 
 /** A caller's request before its body has been read. */
@@ -25,8 +25,6 @@
 	readonly readPrompt: (headers: IncomingHttpHeaders) => PromptHead;
 	/** Headers that go on to the target, with the team's name. */
 	readonly targetHeaders: (headers: IncomingHttpHeaders, team: string | undefined) => Headers;
-	/** Added to every answer of the router itself. */
-	readonly answerHeaders: (requestId: string) => Headers;
 	readonly writeRefusal: (res: ServerResponse, err: RefusalError, requestId: string) => void;
 };
 
@@ -66,7 +64,6 @@
 /** A request with the route that it takes. */
 export type Routed = {
 	readonly route: Route;
-	readonly config: RoutingConfig;
 	readonly team: string | undefined;
 };
 
