Bundle only the parts of the HTTP client that the router uses

Cause: a restart is charged in full, and half of the time to load the bundle went to parts of undici that the router never calls (fetch, caches, web sockets, mocks). Ruled out: reading the settings and the first call to the store (13 and 7 ms in the profile).

Prompts that were sent are told to all VMs, in the same datagrams as their load: the keeper of a prompt is where it was sent last and still fits, not its home by hash.

--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -12,6 +12,8 @@
 	keepNames: true,
 	platform: 'node',
 	target: 'node20',
+	// The whole client would double the time to load: it brings fetch, caches, web sockets and mocks.
+	alias: {undici: './deploy/undici-parts.js'},
 	format: 'esm',
 	// Some packages are CommonJS and load Node's modules with require.
 	banner: {js: 'import {createRequire as createRequireOfBundle} from "node:module"; const require = createRequireOfBundle(import.meta.url);'},
--- a/src/core/placement/messages.ts
+++ b/src/core/placement/messages.ts
@@ -1,6 +1,7 @@
 /** Messages and effects of the placement of one service's requests. */
 import {type GrantResult, type Observation} from '../dispatch/types.js';
 import {type RoutedService, type TargetRecord} from '../routing/types.js';
+import {type SentPrompt} from './prompt-record.js';
 import {type PlacedAsk} from './types.js';
 
 export type PlacementMessage =
@@ -12,6 +13,8 @@
 	| {readonly kind: 'withdraw'; readonly requestId: string}
 	| {readonly kind: 'end'; readonly grantId: string; readonly target: string; readonly result: GrantResult}
 	| {readonly kind: 'observe'; readonly grantId: string; readonly target: string; readonly observation: Observation}
+	/** Another VM sent a prompt to a target. */
+	| {readonly kind: 'sent-elsewhere'; readonly sent: SentPrompt}
 	/** All connections to a target broke, or none could be opened. */
 	| {readonly kind: 'unreachable'; readonly target: string}
 	| {readonly kind: 'tick'};
--- a/src/core/placement/prompt-record.ts
+++ b/src/core/placement/prompt-record.ts
@@ -1,73 +1,117 @@
 /**
- * What this VM knows of the prompt parts that targets keep: the parts it has sent there
- * lately. A part counts only together with all parts before it.
+ * What this VM knows of the prompt parts that targets keep: the parts that were sent
+ * there, by this VM or, as they report, by others. An engine drops the parts that were
+ * used least recently when newer tokens need their memory, so a part counts as kept until
+ * that many tokens were sent after it. A part counts only together with all parts before it.
  */
+import {hash32} from '../membership/rendezvous.js';
 import {type Prompt} from '../dispatch/types.js';
 
-/** Milliseconds after which a part that was not sent again counts as forgotten. */
+/** Milliseconds after which a part that was not sent again counts as forgotten, however little was sent since. */
 const KEPT_MS = 30_000;
-/** Entries after which old ones are looked for. */
-const SWEEP_AT = 4000;
+/** Entries of one target after which old ones are looked for. */
+const SWEEP_AT = 2000;
+/** Milliseconds from the first send of a part until another target can copy it: it waits and is read first. */
+const COPY_AFTER_MS = 400;
+
+/** A request that was sent to a target, as far as it changes what the target keeps. */
+export type SentPrompt = {
+	readonly target: string;
+	/** The prompt's `sharedKeys`. */
+	readonly keys: readonly number[];
+	/** Tokens that the target adds to its memory. */
+	readonly newTokens: number;
+};
+
+type Part = {
+	/** Start of the time for which the target is taken to keep the part. */
+	readonly sinceMs: number;
+	readonly usedMs: number;
+	/** Tokens that had been added to the target's memory at the last use. */
+	readonly addedTokens: number;
+};
+
+type Kept = {
+	readonly parts: Map<number, Part>;
+	addedTokens: number;
+};
 
 export type PromptRecord = {
-	/** Leading tokens of the prompt that the target is taken to keep, by the prompt's `sharedKeys`. */
-	readonly keptTokens: (target: string, prompt: Prompt, keys: readonly string[], nowMs: number) => number;
-	readonly noteSent: (target: string, prompt: Prompt, nowMs: number) => void;
+	/** Leading tokens of the prompt that the target is taken to keep. */
+	readonly keptTokens: (target: string, prompt: Prompt, keys: readonly number[], nowMs: number) => number;
+	/** Those of them that other targets can copy already. */
+	readonly copyableTokens: (target: string, prompt: Prompt, keys: readonly number[], nowMs: number) => number;
+	readonly noteSent: (sent: SentPrompt, nowMs: number) => void;
 	/** Forgets a target that lost its memory. */
 	readonly forget: (target: string) => void;
 };
 
-/** Keys of a prompt's shared parts, each with all before it; the last part is the request's own. */
-export const sharedKeys = ({model, parts}: Prompt): readonly string[] => {
-	const keys: string[] = [];
-	let key = model;
+/** Hashes of a prompt's shared parts, each with all before it; the last part is the request's own. */
+export const sharedKeys = ({model, parts}: Prompt): readonly number[] => {
+	const keys: number[] = [];
+	let path = model;
 	for (const {id} of parts.slice(0, -1)) {
-		key += `/${id}`;
-		keys.push(key);
+		path += `/${id}`;
+		keys.push(hash32(path));
 	}
 
 	return keys;
 };
 
-/** A record that knows nothing. */
-export const createPromptRecord = (): PromptRecord => {
-	const sentMs = new Map<string, Map<string, number>>();
-	const sweep = (keys: Map<string, number>, nowMs: number) => {
-		for (const [key, time] of keys) {
-			if (time < nowMs - KEPT_MS) {
-				keys.delete(key);
+/**
+ * A record that knows nothing.
+ *
+ * @param capacityTokens - Tokens that one target keeps, as now in force.
+ */
+export const createPromptRecord = (capacityTokens: () => number): PromptRecord => {
+	const keptBy = new Map<string, Kept>();
+	const isKept = ({usedMs, addedTokens}: Part, kept: Kept, nowMs: number): boolean =>
+		usedMs >= nowMs - KEPT_MS && kept.addedTokens - addedTokens <= capacityTokens();
+
+	const sweep = (kept: Kept, nowMs: number): void => {
+		for (const [key, part] of kept.parts) {
+			if (!isKept(part, kept, nowMs)) {
+				kept.parts.delete(key);
 			}
 		}
 	};
 
-	return {
-		keptTokens(target, {parts}, keys, nowMs) {
-			const sent = sentMs.get(target);
-			let tokens = 0;
-			for (const [index, key] of keys.entries()) {
-				const time = sent?.get(key);
-				if (time === undefined || time < nowMs - KEPT_MS) {
-					break;
-				}
-
-				tokens += parts[index]?.tokens ?? 0;
+	const leadingTokens = (target: string, {parts}: Prompt, keys: readonly number[], isMeant: (part: Part, kept: Kept) => boolean): number => {
+		const kept = keptBy.get(target);
+		let tokens = 0;
+		for (const [index, key] of keys.entries()) {
+			const part = kept?.parts.get(key);
+			if (!kept || !part || !isMeant(part, kept)) {
+				break;
 			}
 
-			return tokens;
-		},
-		noteSent(target, prompt, nowMs) {
-			const keys = sentMs.get(target) ?? new Map<string, number>();
-			sentMs.set(target, keys);
-			for (const key of sharedKeys(prompt)) {
-				keys.set(key, nowMs);
+			tokens += parts[index]?.tokens ?? 0;
+		}
+
+		return tokens;
+	};
+
+	return {
+		keptTokens: (target, prompt, keys, nowMs) => leadingTokens(target, prompt, keys, (part, kept) => isKept(part, kept, nowMs)),
+		copyableTokens: (target, prompt, keys, nowMs) =>
+			leadingTokens(target, prompt, keys, (part, kept) => isKept(part, kept, nowMs) && part.sinceMs <= nowMs - COPY_AFTER_MS),
+		noteSent({target, keys, newTokens}, nowMs) {
+			const kept = keptBy.get(target) ?? {parts: new Map<number, Part>(), addedTokens: 0};
+			keptBy.set(target, kept);
+			kept.addedTokens += newTokens;
+			for (const key of keys) {
+				const part = kept.parts.get(key);
+				kept.parts.set(key, {
+					sinceMs: part && isKept(part, kept, nowMs) ? part.sinceMs : nowMs, usedMs: nowMs, addedTokens: kept.addedTokens,
+				});
 			}
 
-			if (keys.size > SWEEP_AT) {
-				sweep(keys, nowMs);
+			if (kept.parts.size > SWEEP_AT) {
+				sweep(kept, nowMs);
 			}
 		},
 		forget(target) {
-			sentMs.delete(target);
+			keptBy.delete(target);
 		},
 	};
 };
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -9,7 +9,9 @@
 import {type FleetLoads, type TargetLoad, type TeamLoad} from './fleet-loads.js';
 import {type PlacementEffect, type PlacementMessage} from './messages.js';
 import {PlacedTarget} from './placed-target.js';
-import {createPromptRecord, type PromptRecord} from './prompt-record.js';
+import {
+	createPromptRecord, sharedKeys, type PromptRecord, type SentPrompt,
+} from './prompt-record.js';
 import {createReadRate, type ReadRate} from './read-rate.js';
 import {
 	chooseTarget, hasTargetLeft, type Candidate, type ChoiceContext,
@@ -58,11 +60,13 @@
 	readonly #targets = new Map<string, PlacedTarget>();
 	readonly #queues = new TeamQueues();
 	readonly #use: TeamUse = createTeamUse();
-	readonly #prompts: PromptRecord = createPromptRecord();
+	readonly #prompts: PromptRecord = createPromptRecord(() => this.#service.engine?.kvCapacityTokens ?? 0);
 	readonly #readRate: ReadRate = createReadRate();
 	#out: ReadonlySet<string> = new Set();
 	#homes: readonly PlacedTarget[] = [];
-	#homeOfPrompt = new Map<string, PlacedTarget>();
+	#homeOfPrompt = new Map<number, PlacedTarget>();
+	/** Prompts that were sent since the last report to the other VMs. */
+	#sent: SentPrompt[] = [];
 	#averageNewTokens = 0;
 	#averageCost = 0;
 
@@ -91,6 +95,13 @@
 		}));
 	}
 
+	/** Prompts that were sent since the last call, for the report to the other VMs. */
+	takeSentPrompts(): readonly SentPrompt[] {
+		const sent = this.#sent;
+		this.#sent = [];
+		return sent;
+	}
+
 	targets(): readonly PlacedTarget[] {
 		return [...this.#targets.values()];
 	}
@@ -138,6 +149,14 @@
 				return [];
 			}
 
+			case 'sent-elsewhere': {
+				if (this.#targets.has(message.sent.target)) {
+					this.#prompts.noteSent(message.sent, nowMs);
+				}
+
+				return [];
+			}
+
 			case 'unreachable': {
 				this.#targets.get(message.target)?.noteUnreachable();
 				return [];
@@ -322,7 +341,9 @@
 			newTokens, heldTokens: prompt ? prompt.tokens + prompt.outputTokens : 0, isReading: prompt !== undefined, sentMs: nowMs,
 		}, nowMs);
 		if (prompt) {
-			this.#prompts.noteSent(target.record.id, prompt, nowMs);
+			const sent = {target: target.record.id, keys: sharedKeys(prompt), newTokens: newTokens + prompt.outputTokens};
+			this.#prompts.noteSent(sent, nowMs);
+			this.#sent.push(sent);
 			this.#averageNewTokens += (newTokens - this.#averageNewTokens) * AVERAGE_WEIGHT;
 		}
 
--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -21,10 +21,12 @@
 const RUNNING_PRICE_MS = 2;
 /** Milliseconds that another data centre costs, as a price when targets are compared. */
 const OTHER_DATA_CENTRE_PRICE_MS = 3;
-/** Milliseconds that copying kept prompt parts costs, as a price: each copy takes memory from other prompts. */
-const COPY_PRICE_MS = 60;
-/** Prompt tokens below which a copy is not worth its call. */
-const MIN_COPY_TOKENS = 500;
+/** Milliseconds that a target other than the prompt's keeper costs, as a price: the call between the engines. */
+const AWAY_PRICE_MS = 10;
+/** Milliseconds that each shared token costs there, as a price: a copy takes memory from other prompts. A fifth of the time to read it. */
+const COPY_PRICE_MS_PER_TOKEN = 0.01;
+/** Prompt tokens below which a copy is not worth its call, which takes an engine as long as reading some hundred tokens. */
+const MIN_COPY_TOKENS = 150;
 /** Milliseconds that a target costs, as a price, while it is not known to be alive. */
 const DOUBT_PRICE_MS = 300;
 /** Largest part of the targets that is passed over after failures; more would crowd the rest. */
@@ -39,10 +41,13 @@
 	readonly price: number;
 };
 
-/** A target that keeps shared parts of a prompt. */
+/** Where a prompt's shared parts are. */
 type Keeper = {
+	/** The target that they belong to. */
 	readonly target: PlacedTarget;
-	readonly tokens: number;
+	/** The target from which others can copy most of them now. */
+	readonly source: PlacedTarget | undefined;
+	readonly copyableTokens: number;
 };
 
 /** What a choice rests on, the same for all asks of one moment. */
@@ -54,7 +59,7 @@
 	/** Targets that are not cold, by which homes of prompts are chosen. */
 	readonly homes: readonly PlacedTarget[];
 	/** Homes of prompts by their shared parts, as long as `homes` stays the same. */
-	readonly homeOfPrompt: Map<string, PlacedTarget>;
+	readonly homeOfPrompt: Map<number, PlacedTarget>;
 	readonly prompts: PromptRecord;
 	readonly fleet: FleetLoads;
 	/** Whether all other VMs' reports are at hand. */
@@ -101,12 +106,7 @@
 	|| predictedMs - ownMs <= Math.min(targetLatencyMs * LARGE_BACKLOG_SHARE, ownMs);
 
 /** The home of a prompt's shared parts, which all VMs choose alike by a hash. */
-const keeperOf = ({prompt}: PlacedAsk, keys: readonly string[], {service, homes, homeOfPrompt}: ChoiceContext): Keeper | undefined => {
-	const key = keys.at(-1);
-	if (!prompt || key === undefined || !service.engine?.canCopyPrompts) {
-		return undefined;
-	}
-
+const homeOf = (key: number, {homes, homeOfPrompt}: ChoiceContext): PlacedTarget | undefined => {
 	let home = homeOfPrompt.get(key);
 	if (!home) {
 		let highest = -1;
@@ -123,33 +123,66 @@
 		}
 	}
 
-	return home && {target: home, tokens: prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)};
+	return home;
+};
+
+/** The target that keeps most of a prompt, or its home while no target is known to keep more than another. */
+const keeperOf = ({prompt}: PlacedAsk, keys: readonly number[], ctx: ChoiceContext): Keeper | undefined => {
+	const key = keys.at(-1);
+	if (!prompt || key === undefined) {
+		return undefined;
+	}
+
+	const {prompts, targets, nowMs} = ctx;
+	const home = homeOf(key, ctx);
+	let keeper = home;
+	let mostKept = home ? prompts.keptTokens(home.record.id, prompt, keys, nowMs) : 0;
+	let source: PlacedTarget | undefined;
+	let copyableTokens = 0;
+	for (const target of targets) {
+		const kept = prompts.keptTokens(target.record.id, prompt, keys, nowMs);
+		if (kept > mostKept) {
+			keeper = target;
+			mostKept = kept;
+		}
+
+		const copyable = kept > copyableTokens ? prompts.copyableTokens(target.record.id, prompt, keys, nowMs) : 0;
+		if (copyable > copyableTokens) {
+			source = target;
+			copyableTokens = copyable;
+		}
+	}
+
+	return keeper && {target: keeper, source, copyableTokens};
 };
 
 /** What is compared at each target for one ask. */
 type Consideration = {
 	readonly ask: PlacedAsk;
 	/** The prompt's `sharedKeys`. */
-	readonly keys: readonly string[];
+	readonly keys: readonly number[];
+	/** Tokens of the shared parts. */
+	readonly sharedTokens: number;
 	readonly keeper: Keeper | undefined;
 	readonly others: Load;
 };
 
-const candidateAt = (target: PlacedTarget, {ask, keys, keeper, others}: Consideration, ctx: ChoiceContext): Candidate => {
+const candidateAt = (target: PlacedTarget, {ask, keys, sharedTokens, keeper, others}: Consideration, ctx: ChoiceContext): Candidate => {
 	const {prompt} = ask;
-	const {prompts, tokensPerMs, dataCentre, nowMs} = ctx;
+	const {service, prompts, tokensPerMs, dataCentre, nowMs} = ctx;
 	const own = prompt ? prompts.keptTokens(target.record.id, prompt, keys, nowMs) : 0;
-	const isKeeper = keeper?.target === target;
-	const copies = keeper !== undefined && !isKeeper && keeper.tokens >= own + MIN_COPY_TOKENS;
-	const keptTokens = isKeeper || copies ? Math.max(own, keeper.tokens) : own;
+	const isAway = keeper !== undefined && keeper.target !== target;
+	const source = service.engine?.canCopyPrompts === true && keeper && keeper.copyableTokens >= own + MIN_COPY_TOKENS ? keeper.source : undefined;
+	const lacking = sharedTokens - own;
+	const keptTokens = source && keeper ? keeper.copyableTokens : own;
 	const newTokens = prompt ? Math.max(0, prompt.tokens - keptTokens) : 0;
 	const predictedMs = (target.readingTokens + others.readingTokens + newTokens) / tokensPerMs;
-	const copyFrom: TargetRecord | undefined = copies ? keeper.target.record : undefined;
+	const copyFrom: TargetRecord | undefined = source?.record;
 	return {
 		target,
 		newTokens,
 		price: predictedMs + ((target.running + others.running) * RUNNING_PRICE_MS)
-			+ (target.record.dataCentre === dataCentre ? 0 : OTHER_DATA_CENTRE_PRICE_MS) + (copies ? COPY_PRICE_MS : 0)
+			+ (target.record.dataCentre === dataCentre ? 0 : OTHER_DATA_CENTRE_PRICE_MS) + (isAway && lacking > 0 ? AWAY_PRICE_MS + (lacking * COPY_PRICE_MS_PER_TOKEN) : 0)
 			+ (target.isDoubtful ? DOUBT_PRICE_MS : 0),
 		reason: {
 			predictedMs,
@@ -183,6 +216,7 @@
 export const chooseTarget = (ask: PlacedAsk, ctx: ChoiceContext): Candidate | undefined => {
 	const keys = ask.prompt ? sharedKeys(ask.prompt) : [];
 	const keeper = keeperOf(ask, keys, ctx);
+	const sharedTokens = ask.prompt?.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0) ?? 0;
 	let best: Candidate | undefined;
 	for (const target of untried(ask, ctx)) {
 		const others = othersAt(target, ctx);
@@ -191,7 +225,7 @@
 		}
 
 		const candidate = candidateAt(target, {
-			ask, keys, keeper, others,
+			ask, keys, sharedTokens, keeper, others,
 		}, ctx);
 		if (startsInTime(ask, candidate.reason, candidate.newTokens / ctx.tokensPerMs) && (!best || candidate.price < best.price)) {
 			best = candidate;
--- a/src/runtime/routing/load-exchange.ts
+++ b/src/runtime/routing/load-exchange.ts
@@ -8,6 +8,7 @@
 import {create, fromBinary, toBinary} from '@bufbuild/protobuf';
 import {type Clock} from '../../core/clock.js';
 import {type FleetLoads, type TargetLoad, type TeamLoad} from '../../core/placement/fleet-loads.js';
+import {type SentPrompt} from '../../core/placement/prompt-record.js';
 import {LoadReportSchema} from '../../gen/jackdawwood/v1/exchange_pb.js';
 import {type Log} from '../observe/log.js';
 
@@ -29,6 +30,10 @@
 	readonly peers: () => readonly Address[];
 	readonly targets: () => readonly TargetLoad[];
 	readonly teams: () => readonly TeamLoad[];
+	/** Prompts that were sent since the last call. */
+	readonly takeSentPrompts: () => readonly SentPrompt[];
+	/** Called with the prompts that another VM has sent. */
+	readonly onSentPrompts: (sent: readonly SentPrompt[]) => void;
 };
 
 export type LoadExchange = {
@@ -36,7 +41,9 @@
 };
 
 /** Starts to listen and to report. */
-export const startLoadExchange = async ({vm, incarnation, listen, clock, log, loads, peers, targets, teams}: LoadExchangeOptions): Promise<LoadExchange> => {
+export const startLoadExchange = async ({
+	vm, incarnation, listen, clock, log, loads, peers, targets, teams, takeSentPrompts, onSentPrompts,
+}: LoadExchangeOptions): Promise<LoadExchange> => {
 	const socket = createSocket('udp4');
 	let sequence = 0;
 	let timer: NodeJS.Timeout;
@@ -46,6 +53,7 @@
 			const report = fromBinary(LoadReportSchema, bytes);
 			if (report.vm !== vm) {
 				loads.take(report, clock.nowMs());
+				onSentPrompts(report.prompts);
 			}
 		} catch (error) {
 			log.warn('load report not understood', {fault: String(error)});
@@ -60,11 +68,13 @@
 	const send = (): void => {
 		loads.expire(clock.nowMs());
 		const addresses = peers();
+		const prompts = takeSentPrompts();
 		if (addresses.length > 0) {
 			const bytes = toBinary(LoadReportSchema, create(LoadReportSchema, {
 				vm, incarnation, sequence: ++sequence,
 				targets: targets().map(load => ({...load, readingTokens: Math.round(load.readingTokens), heldTokens: Math.round(load.heldTokens)})),
 				teams: teams().map(load => ({...load, use: Math.round(load.use)})),
+				prompts: prompts.map(({target, keys, newTokens}) => ({target, keys: [...keys], newTokens: Math.round(newTokens)})),
 			}));
 			for (const {host, port} of addresses) {
 				// A peer that cannot be reached misses one report.
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -5,6 +5,7 @@
 import {DeadlinePassed, NoTarget} from '../../core/errors/refusals-data.js';
 import {type PlacementEffect, type PlacementMessage} from '../../core/placement/messages.js';
 import {type FleetLoads, type TargetLoad, type TeamLoad} from '../../core/placement/fleet-loads.js';
+import {type SentPrompt} from '../../core/placement/prompt-record.js';
 import {ServicePlacement} from '../../core/placement/service-placement.js';
 import {type FleetBounds, type PlacedAsk} from '../../core/placement/types.js';
 import {type FleetNews} from '../../core/routing/types.js';
@@ -37,6 +38,10 @@
 	/** What this VM reports to the others. */
 	readonly targetLoads: () => readonly TargetLoad[];
 	readonly teamLoads: () => readonly TeamLoad[];
+	/** Prompts that were sent since the last call, for the report to the other VMs. */
+	readonly takeSentPrompts: () => readonly SentPrompt[];
+	/** Takes in the prompts that another VM has sent. */
+	readonly onSentPrompts: (sent: readonly SentPrompt[]) => void;
 	/** Asks that wait, by service. */
 	readonly waiting: () => ReadonlyMap<string, number>;
 };
@@ -221,6 +226,15 @@
 		},
 		targetLoads: () => [...placements.values()].flatMap(placement => placement.targetLoads()),
 		teamLoads: () => [...placements.values()].flatMap(placement => placement.teamLoads(clock.nowMs())),
+		takeSentPrompts: () => [...placements.values()].flatMap(placement => placement.takeSentPrompts()),
+		onSentPrompts(prompts) {
+			for (const sent of prompts) {
+				const service = view.targets().get(sent.target)?.service;
+				if (service !== undefined) {
+					placements.get(service)?.handle({kind: 'sent-elsewhere', sent}, clock.nowMs());
+				}
+			}
+		},
 		waiting: () => new Map([...placements].map(([service, placement]) => [service, placement.waiting])),
 	};
 };
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -110,6 +110,7 @@
 	const exchange = await startLoadExchange({
 		vm, incarnation, listen: options.exchange, clock, log, loads,
 		peers: options.peers, targets: scheduler.targetLoads, teams: scheduler.teamLoads,
+		takeSentPrompts: scheduler.takeSentPrompts, onSentPrompts: scheduler.onSentPrompts,
 	});
 	const serviceAt = (address: string) => [...view.targets().values()].find(target => target.address === address)?.service;
 	const pools = createTargetPools(address => serviceAt(address) !== undefined, {
--- /dev/null
+++ b/test/placement/prompt-record.test.ts
@@ -0,0 +1,88 @@
+import test from 'ava';
+import {createPromptRecord, sharedKeys} from '../../src/core/placement/prompt-record.js';
+import {FleetLoads} from '../../src/core/placement/fleet-loads.js';
+import {
+	ask, createPlacement, prompt, target,
+} from './_service.js';
+
+const subject = prompt('subject', 6000);
+const keys = sharedKeys(subject);
+const SHARED = 4500;
+
+const sent = (to: string, newTokens = 6300) => ({target: to, keys, newTokens});
+
+test('a sent prompt counts as kept with all parts but the request\'s own', t => {
+	const record = createPromptRecord(() => 100_000);
+	t.is(record.keptTokens('t1', subject, keys, 0), 0);
+	record.noteSent(sent('t1'), 0);
+	t.is(record.keptTokens('t1', subject, keys, 1), SHARED);
+	t.is(record.keptTokens('t1', prompt('other', 6000), sharedKeys(prompt('other', 6000)), 1), 500);
+	t.is(record.keptTokens('t2', subject, keys, 1), 0);
+});
+
+test('a prompt counts as dropped once newer ones took all of the memory', t => {
+	const record = createPromptRecord(() => 100_000);
+	record.noteSent(sent('t1'), 0);
+	record.noteSent({target: 't1', keys: [], newTokens: 100_000}, 1);
+	t.is(record.keptTokens('t1', subject, keys, 2), SHARED);
+	record.noteSent({target: 't1', keys: [], newTokens: 1}, 3);
+	t.is(record.keptTokens('t1', subject, keys, 4), 0);
+});
+
+test('a prompt that was sent again counts from its last use', t => {
+	const record = createPromptRecord(() => 100_000);
+	record.noteSent(sent('t1'), 0);
+	record.noteSent({target: 't1', keys: [], newTokens: 90_000}, 1);
+	record.noteSent(sent('t1', 2000), 2);
+	record.noteSent({target: 't1', keys: [], newTokens: 90_000}, 3);
+	t.is(record.keptTokens('t1', subject, keys, 4), SHARED);
+});
+
+test('a prompt can be copied only after it had time to be read', t => {
+	const record = createPromptRecord(() => 100_000);
+	record.noteSent(sent('t1'), 0);
+	t.is(record.copyableTokens('t1', subject, keys, 100), 0);
+	record.noteSent(sent('t1'), 300);
+	t.is(record.copyableTokens('t1', subject, keys, 500), SHARED);
+	record.forget('t1');
+	t.is(record.copyableTokens('t1', subject, keys, 500), 0);
+});
+
+test('a prompt that another VM sent away from its home is copied from where it is', t => {
+	const placement = createPlacement({fleet: new FleetLoads()});
+	for (const id of ['a', 'bb', 'ccc']) {
+		placement.handle({kind: 'target', target: target(id)}, 0);
+	}
+
+	const place = (atMs: number) => {
+		const [effect] = placement.handle({kind: 'ask', ask: ask('team', atMs, {prompt: subject})}, atMs);
+		return effect?.kind === 'grant' ? effect : undefined;
+	};
+
+	const home = place(0)?.target.id ?? '';
+	const away = ['a', 'bb', 'ccc'].find(id => id !== home) ?? '';
+	const elsewhere = createPlacement({vm: 'vm-2'});
+	for (const id of ['a', 'bb', 'ccc']) {
+		elsewhere.handle({kind: 'target', target: target(id)}, 0);
+	}
+
+	elsewhere.handle({kind: 'sent-elsewhere', sent: sent(away)}, 0);
+	const [effect] = elsewhere.handle({kind: 'ask', ask: ask('team', 1000, {prompt: subject})}, 1000);
+	t.is(effect?.kind === 'grant' ? effect.target.id : undefined, away, 'the keeper goes before the home');
+
+	// More prompts than the keeper can start in time are started elsewhere, from its copy.
+	const more = Array.from({length: 12}, () => elsewhere.handle({kind: 'ask', ask: ask('team', 1000, {prompt: subject})}, 1000)).flat();
+	const spilled = more.flatMap(grant => grant.kind === 'grant' && grant.target.id !== away ? grant : []);
+	t.true(spilled.length > 0);
+	const firstAtTarget = ['a', 'bb', 'ccc'].flatMap(id => spilled.find(grant => grant.target.id === id) ?? []);
+	t.deepEqual(new Set(firstAtTarget.map(({because}) => because.copyFrom?.id)), new Set([away]));
+	t.deepEqual(new Set(spilled.map(({because}) => because.keptTokens)), new Set([SHARED]), 'nothing is read again');
+});
+
+test('sent prompts are told to the other VMs once', t => {
+	const placement = createPlacement();
+	placement.handle({kind: 'target', target: target('t1')}, 0);
+	placement.handle({kind: 'ask', ask: ask('team', 0, {prompt: subject})}, 0);
+	t.deepEqual(placement.takeSentPrompts(), [{target: 't1', keys, newTokens: 6300}]);
+	t.deepEqual(placement.takeSentPrompts(), []);
+});
--- a/test/platform/_platform.ts
+++ b/test/platform/_platform.ts
@@ -89,7 +89,7 @@
 	}
 };
 
-const settingsText = ([callers, admin, control, metrics]: readonly string[], store: string) => `
+export const settingsText = ([callers, admin, control, metrics]: readonly string[], store: string) => `
 [vm]
 id = "edge-1"
 data_centre = "dc-a"
