Price of running requests by the tokens to generate

An engine makes one token for every running request in a step, so a neighbour costs a long answer more than a short one; the price was 2 ms for all.

--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -17,8 +17,10 @@
 const RUNNING_SHARE = 0.75;
 /** Requests that a plain target may have for each slot, the rest waiting there. */
 const PLAIN_PER_SLOT = 2;
-/** Milliseconds that one more running request costs the others, as a price when targets are compared. */
+/** Milliseconds that each running request costs, as a price when targets are compared. */
 const RUNNING_PRICE_MS = 2;
+/** Milliseconds that each running request costs for each token to generate: an engine makes one for all of them in a step. */
+const RUNNING_PRICE_MS_PER_TOKEN = 0.06;
 /** Milliseconds that another data centre costs, as a price when targets are compared. */
 const OTHER_DATA_CENTRE_PRICE_MS = 3;
 /** Milliseconds that a target other than the prompt's keeper costs, as a price: the call between the engines. */
@@ -181,7 +183,7 @@
 	return {
 		target,
 		newTokens,
-		price: predictedMs + ((target.running + others.running) * RUNNING_PRICE_MS)
+		price: predictedMs + ((target.running + others.running) * (RUNNING_PRICE_MS + ((prompt?.outputTokens ?? 0) * RUNNING_PRICE_MS_PER_TOKEN)))
 			+ (target.record.dataCentre === dataCentre ? 0 : OTHER_DATA_CENTRE_PRICE_MS) + (isAway && lacking > 0 ? AWAY_PRICE_MS + (lacking * COPY_PRICE_MS_PER_TOKEN) : 0)
 			+ (target.isDoubtful ? DOUBT_PRICE_MS : 0),
 		reason: {
