--- /dev/null
+++ b/test/platform/fleet-source.test.ts
@@ -0,0 +1,36 @@
+import test from 'ava';
+import {createFleetSource} from '../../platform/fleet-source.js';
+import {createStoreClient} from '../../platform/store-client.js';
+import {type FleetNews} from '../../src/core/routing/types.js';
+import {createMetrics} from '../../src/runtime/observe/metrics.js';
+import {startWorksStore} from '../../standins/works/works-store.js';
+import {silentLog} from '../../src/runtime/observe/log.js';
+import {monotonicClock} from '../../src/runtime/monotonic-clock.js';
+import {until} from './_platform.js';
+
+test('a target that came by a change and left while history was lost is told as gone', async t => {
+	const store = await startWorksStore();
+	const entry = (address: string) => ({
+		service: 'tariff', address, zone: 'dc-a', version: 'v1', slots: 8, state: 'ready', cold_remaining_ms: 0, sequence: 1, born: 1000,
+	});
+	store.put('servers', 'stays', entry('127.0.0.1:1'));
+	const source = createFleetSource({
+		client: createStoreClient({address: store.address, clock: monotonicClock, metrics: createMetrics()}), vm: 'edge-1', exchange: '127.0.0.1:2', clock: monotonicClock, log: silentLog,
+	});
+	const news: FleetNews[] = [];
+	source.start(item => {
+		news.push(item);
+	});
+	t.teardown(async () => {
+		await source.stop();
+		await store.close();
+	});
+
+	await until(t, () => news.some(({kind}) => kind === 'all-targets'), 'targets read');
+	store.put('servers', 'comes', entry('127.0.0.1:3'));
+	await until(t, () => news.some(item => item.kind === 'target' && item.target.id === 'comes'), 'the change told');
+	store.drop('servers', 'comes');
+	store.loseHistory();
+	await until(t, () => news.some(item => item.kind === 'target-gone' && item.id === 'comes'), 'told as gone');
+	t.false(news.some(item => item.kind === 'target-gone' && item.id === 'stays'));
+});
