Requests beyond a team's max-min share of the engines' tokens give way

Cause: a team that asked for many times its share filled the engines while nobody waited, so requests of the other teams started late and streams slowed down. VMs now tell each other what each team asked for; the max-min level of that over tokens_per_s is a team's share. A request beyond it starts only where little runs and little is to be read, so teams still receive everything while there is room.

--- a/src/core/placement/fleet-loads.ts
+++ b/src/core/placement/fleet-loads.ts
@@ -3,6 +3,8 @@
 
 /** Milliseconds for which a report counts; a few reports may be lost on the way. */
 const REPORT_VALID_MS = 1500;
+/** Milliseconds for which sums over all reports are used again; about as long as it takes until new reports come. */
+const TEAM_SUMS_VALID_MS = 50;
 
 /** A VM's requests at one target that have not ended. */
 export type TargetLoad = {
@@ -20,9 +22,14 @@
 	readonly team: string;
 	/** Cost of the requests that were started, older ones counting less. */
 	readonly use: number;
+	/** Cost of the requests that arrived, in the same way. */
+	readonly asked: number;
 	readonly waits: boolean;
 };
 
+/** What a team asked for and received through several VMs. */
+export type TeamSum = Pick<TeamLoad, 'use' | 'asked'>;
+
 export type VmLoads = {
 	readonly vm: string;
 	readonly incarnation: string;
@@ -40,6 +47,7 @@
 export class FleetLoads {
 	readonly #reports = new Map<string, Report>();
 	readonly #sums = new Map<string, Load>();
+	readonly #teamSums = new Map<string, {readonly sums: ReadonlyMap<string, TeamSum>; readonly atMs: number}>();
 
 	/** Takes in a report; one that is older than the last is ignored. */
 	take(loads: VmLoads, nowMs: number): void {
@@ -74,18 +82,28 @@
 		return this.#sums.get(target) ?? NOTHING;
 	}
 
-	/** What a team received through the other VMs. */
-	use(service: string, team: string, nowMs: number): number {
-		let use = 0;
+	/** What the teams asked for and received through the other VMs. */
+	teams(service: string, nowMs: number): ReadonlyMap<string, TeamSum> {
+		const known = this.#teamSums.get(service);
+		if (known && nowMs - known.atMs < TEAM_SUMS_VALID_MS) {
+			return known.sums;
+		}
+
+		const sums = new Map<string, TeamSum>();
 		for (const {loads, atMs} of this.#reports.values()) {
 			for (const load of loads.teams) {
-				if (load.service === service && load.team === team) {
-					use += decayUse(load.use, nowMs - atMs);
+				if (load.service === service) {
+					const sum = sums.get(load.team);
+					sums.set(load.team, {
+						use: (sum?.use ?? 0) + decayUse(load.use, nowMs - atMs),
+						asked: (sum?.asked ?? 0) + decayUse(load.asked, nowMs - atMs),
+					});
 				}
 			}
 		}
 
-		return use;
+		this.#teamSums.set(service, {sums, atMs: nowMs});
+		return sums;
 	}
 
 	/** Teams whose requests wait at other VMs. */
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -17,7 +17,7 @@
 	chooseTarget, hasTargetLeft, type Candidate, type ChoiceContext,
 } from './target-choice.js';
 import {TeamQueues} from './team-queues.js';
-import {createTeamUse, type TeamUse} from './team-use.js';
+import {TeamShares} from './team-shares.js';
 import {type FleetBounds, type PlacedAsk} from './types.js';
 
 /** Part of the target latency for which a request waits before it is refused. */
@@ -26,9 +26,6 @@
 const LOOK_AHEAD = 4;
 /** Milliseconds after which a waiting team is reported to the other VMs. */
 const WAITS_AFTER_MS = 60;
-/** How far a team may be ahead of one that waits elsewhere: a factor on its use, and average requests. Reports are some hundred milliseconds old, so a smaller lead would leave capacity idle. */
-const LEAD_FACTOR = 1.25;
-const LEAD_REQUESTS = 2;
 /** Retry-After bounds in milliseconds. */
 const MIN_RETRY_AFTER_MS = 300;
 const MAX_RETRY_AFTER_MS = 2000;
@@ -59,7 +56,7 @@
 	readonly #options: ServicePlacementOptions;
 	readonly #targets = new Map<string, PlacedTarget>();
 	readonly #queues = new TeamQueues();
-	readonly #use: TeamUse = createTeamUse();
+	readonly #shares: TeamShares;
 	readonly #prompts: PromptRecord = createPromptRecord(() => this.#service.engine?.kvCapacityTokens ?? 0);
 	readonly #readRate: ReadRate = createReadRate();
 	#out: ReadonlySet<string> = new Set();
@@ -68,11 +65,13 @@
 	/** Prompts that were sent since the last report to the other VMs. */
 	#sent: SentPrompt[] = [];
 	#averageNewTokens = 0;
-	#averageCost = 0;
 
 	constructor(options: ServicePlacementOptions) {
 		this.#options = options;
 		this.#service = options.service;
+		this.#shares = new TeamShares({
+			service: options.service.name, fleet: options.fleet, capacityPerS: () => this.#service.tokensPerS,
+		});
 	}
 
 	/** Asks that wait. */
@@ -89,9 +88,10 @@
 
 	/** What this VM reports of its teams. */
 	teamLoads(nowMs: number): readonly TeamLoad[] {
-		const teams = new Set([...this.#use.teams(nowMs), ...this.#queues.teams()]);
+		const sums = this.#shares.own(nowMs);
+		const teams = new Set([...sums.keys(), ...this.#queues.teams()]);
 		return [...teams].map(team => ({
-			service: this.#service.name, team, use: this.#use.of(team, nowMs), waits: this.#hasWaited(team, nowMs),
+			service: this.#service.name, team, use: sums.get(team)?.use ?? 0, asked: sums.get(team)?.asked ?? 0, waits: this.#hasWaited(team, nowMs),
 		}));
 	}
 
@@ -180,14 +180,18 @@
 	/** Starts the ask at once when nothing waits, else lets it wait for its turn. */
 	#onAsk(ask: PlacedAsk, nowMs: number): readonly PlacementEffect[] {
 		const ctx = this.#context(nowMs);
+		if (ask.tried.length === 0) {
+			this.#shares.noteAsked(ask.team, costOf(ask), nowMs);
+		}
+
 		if (!hasTargetLeft(ask, ctx)) {
 			return [{
 				kind: 'reject', ask, reason: 'no-target', retryAfterMs: NO_TARGET_RETRY_AFTER_MS,
 			}];
 		}
 
-		if (this.#queues.isEmpty && this.#useOf(ask.team, nowMs) <= this.#useCeiling(nowMs)) {
-			const candidate = chooseTarget(ask, ctx);
+		if (this.#queues.isEmpty && this.#shares.useOf(ask.team, nowMs) <= this.#shares.useCeiling(nowMs)) {
+			const candidate = chooseTarget(ask, {...ctx, givesWay: this.#shares.isBeyondShare(ask.team, nowMs)});
 			if (candidate) {
 				return [this.#grant(ask, candidate, nowMs)];
 			}
@@ -277,6 +281,7 @@
 			hearsFleet: fleet.heard + 1 >= vms().length,
 			tokensPerMs: this.#readRate.tokensPerMs(),
 			averageNewTokens: this.#averageNewTokens,
+			givesWay: false,
 			hasColdRoom: target => this.#service.coldPerS === 0 || !target.isCold(nowMs) || target.hasColdRoom(this.#coldLimit(target.record.id), nowMs),
 			nowMs,
 		};
@@ -286,8 +291,8 @@
 	#dispatch(nowMs: number): readonly PlacementEffect[] {
 		const effects: PlacementEffect[] = [];
 		const ctx = this.#context(nowMs);
-		const ceiling = this.#useCeiling(nowMs);
-		const uses = new Map([...this.#queues.teams()].map(team => [team, this.#useOf(team, nowMs)]));
+		const ceiling = this.#shares.useCeiling(nowMs);
+		const uses = new Map([...this.#queues.teams()].map(team => [team, this.#shares.useOf(team, nowMs)]));
 		while (uses.size > 0) {
 			const use = Math.min(...uses.values());
 			const team = [...uses.keys()].find(name => uses.get(name) === use) ?? '';
@@ -306,7 +311,8 @@
 		return effects;
 	}
 
-	#firstStart(team: string, ctx: ChoiceContext): {readonly ask: PlacedAsk; readonly candidate: Candidate} | undefined {
+	#firstStart(team: string, context: ChoiceContext): {readonly ask: PlacedAsk; readonly candidate: Candidate} | undefined {
+		const ctx = {...context, givesWay: this.#shares.isBeyondShare(team, context.nowMs)};
 		for (const ask of this.#queues.of(team).slice(0, LOOK_AHEAD)) {
 			const candidate = chooseTarget(ask, ctx);
 			if (candidate) {
@@ -322,18 +328,6 @@
 		return this.#queues.of(team).some(ask => nowMs - ask.arrivedMs > WAITS_AFTER_MS);
 	}
 
-	/** What a team received through all VMs. */
-	#useOf(team: string, nowMs: number): number {
-		return this.#use.of(team, nowMs) + this.#options.fleet.use(this.#service.name, team, nowMs);
-	}
-
-	/** Use beyond which a team lets the teams go first that wait at other VMs. */
-	#useCeiling(nowMs: number): number {
-		const waiting = this.#options.fleet.waitingElsewhere(this.#service.name);
-		const uses = [...waiting].map(team => this.#useOf(team, nowMs));
-		return uses.length === 0 ? Infinity : (Math.min(...uses) * LEAD_FACTOR) + (this.#averageCost * LEAD_REQUESTS);
-	}
-
 	#grant(ask: PlacedAsk, {target, newTokens, reason}: Candidate, nowMs: number): PlacementEffect {
 		const grantId = this.#options.createGrantId();
 		const {prompt} = ask;
@@ -347,9 +341,7 @@
 			this.#averageNewTokens += (newTokens - this.#averageNewTokens) * AVERAGE_WEIGHT;
 		}
 
-		const cost = costOf(ask);
-		this.#use.add(ask.team, cost, nowMs);
-		this.#averageCost += (cost - this.#averageCost) * AVERAGE_WEIGHT;
+		this.#shares.noteStarted(ask.team, costOf(ask), nowMs);
 		return {
 			kind: 'grant', ask, grantId, target: target.record, because: reason,
 		};
--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -15,6 +15,9 @@
 const MEMORY_SHARE = 0.85;
 /** Largest part of the slots that model requests of all VMs together take. Beyond it tokens come too slowly for long answers to end in time. */
 const RUNNING_SHARE = 0.75;
+/** The same two for requests that give way, so that what comes after them finds room. */
+const YIELDING_START_SHARE = 0.25;
+const YIELDING_RUNNING_SHARE = 0.4;
 /** Requests that a plain target may have for each slot, the rest waiting there. */
 const PLAIN_PER_SLOT = 2;
 /** Milliseconds that each running request costs, as a price when targets are compared. */
@@ -69,6 +72,8 @@
 	readonly tokensPerMs: number;
 	/** Tokens that a request has to read, on average. */
 	readonly averageNewTokens: number;
+	/** Whether the request gives way to others: its team received its share. */
+	readonly givesWay: boolean;
 	/** Whether a cold target may get one more request. */
 	readonly hasColdRoom: (target: PlacedTarget) => boolean;
 	readonly nowMs: number;
@@ -92,19 +97,19 @@
 };
 
 /** Memory and slots bound what a model engine takes; slots bound what a plain target takes. */
-const hasRoom = (target: PlacedTarget, others: Load, {prompt}: PlacedAsk, {engine}: RoutedService): boolean => {
+const hasRoom = (target: PlacedTarget, others: Load, {prompt}: PlacedAsk, {service: {engine}, givesWay}: ChoiceContext): boolean => {
 	const running = target.running + others.running;
 	if (!prompt || !engine) {
 		return running < target.record.slots * PLAIN_PER_SLOT;
 	}
 
 	const tokens = target.heldTokens + others.heldTokens + prompt.tokens + prompt.outputTokens;
-	return running < Math.max(1, engine.slots * RUNNING_SHARE) && (running === 0 || tokens <= engine.kvCapacityTokens * MEMORY_SHARE);
+	return running < Math.max(1, engine.slots * (givesWay ? YIELDING_RUNNING_SHARE : RUNNING_SHARE)) && (running === 0 || tokens <= engine.kvCapacityTokens * MEMORY_SHARE);
 };
 
 /** A large prompt that cannot be in time by itself is started when little is ahead of it, rather than never. */
-const startsInTime = ({targetLatencyMs}: PlacedAsk, {predictedMs, waitedMs}: PlacementReason, ownMs: number): boolean =>
-	waitedMs + predictedMs <= targetLatencyMs * START_SHARE
+const startsInTime = ({targetLatencyMs}: PlacedAsk, {predictedMs, waitedMs}: PlacementReason, ownMs: number, givesWay: boolean): boolean =>
+	(givesWay ? predictedMs <= targetLatencyMs * YIELDING_START_SHARE : waitedMs + predictedMs <= targetLatencyMs * START_SHARE)
 	|| predictedMs - ownMs <= Math.min(targetLatencyMs * LARGE_BACKLOG_SHARE, ownMs);
 
 /** The home of a prompt's shared parts, which all VMs choose alike by a hash. */
@@ -222,14 +227,14 @@
 	let best: Candidate | undefined;
 	for (const target of untried(ask, ctx)) {
 		const others = othersAt(target, ctx);
-		if (!hasRoom(target, others, ask, ctx.service) || !ctx.hasColdRoom(target)) {
+		if (!hasRoom(target, others, ask, ctx) || !ctx.hasColdRoom(target)) {
 			continue;
 		}
 
 		const candidate = candidateAt(target, {
 			ask, keys, sharedTokens, keeper, others,
 		}, ctx);
-		if (startsInTime(ask, candidate.reason, candidate.newTokens / ctx.tokensPerMs) && (!best || candidate.price < best.price)) {
+		if (startsInTime(ask, candidate.reason, candidate.newTokens / ctx.tokensPerMs, ctx.givesWay) && (!best || candidate.price < best.price)) {
 			best = candidate;
 		}
 	}
--- /dev/null
+++ b/src/core/placement/team-shares.ts
@@ -0,0 +1,92 @@
+/**
+ * What the teams of one service asked for and received, through this VM and, as they
+ * report, through the others. Two orders follow from it: a team that is ahead of one that
+ * waits elsewhere lets it go first, and a team that received its max-min share of what
+ * the engines can do gives way to the teams that did not.
+ */
+import {fairLevel} from './fair-level.js';
+import {type FleetLoads, type TeamSum} from './fleet-loads.js';
+import {createTeamUse, DECAY_MS} from './team-use.js';
+
+/** How far a team may be ahead of one that waits elsewhere: a factor on its use, and average requests. Reports are some hundred milliseconds old, so a smaller lead would leave capacity idle. */
+const LEAD_FACTOR = 1.25;
+const LEAD_REQUESTS = 2;
+/** What a team may receive of its share before its requests give way, as a factor: answers that come late are worth less. */
+const SHARE_MARGIN = 1.15;
+/** Milliseconds for which a computed share holds; reports of other VMs come about as often. */
+const SHARE_EVERY_MS = 50;
+/** Weight of one request in the average cost. */
+const AVERAGE_WEIGHT = 0.05;
+const MS_PER_S = 1000;
+
+export type TeamSharesOptions = {
+	readonly service: string;
+	readonly fleet: FleetLoads;
+	/** Cost that all targets together bear in a second, as now in force; undefined if unknown. */
+	readonly capacityPerS: () => number | undefined;
+};
+
+export class TeamShares {
+	readonly #options: TeamSharesOptions;
+	readonly #use = createTeamUse();
+	readonly #asked = createTeamUse();
+	#averageCost = 0;
+	#share = {use: Infinity, untilMs: -Infinity};
+
+	constructor(options: TeamSharesOptions) {
+		this.#options = options;
+	}
+
+	noteAsked(team: string, cost: number, nowMs: number): void {
+		this.#asked.add(team, cost, nowMs);
+	}
+
+	noteStarted(team: string, cost: number, nowMs: number): void {
+		this.#use.add(team, cost, nowMs);
+		this.#averageCost += (cost - this.#averageCost) * AVERAGE_WEIGHT;
+	}
+
+	/** What each team asked for and received through this VM. */
+	own(nowMs: number): ReadonlyMap<string, TeamSum> {
+		const teams = new Set([...this.#asked.teams(nowMs), ...this.#use.teams(nowMs)]);
+		return new Map([...teams].map(team => [team, {use: this.#use.of(team, nowMs), asked: this.#asked.of(team, nowMs)}]));
+	}
+
+	/** What a team received through all VMs. */
+	useOf(team: string, nowMs: number): number {
+		const {service, fleet} = this.#options;
+		return this.#use.of(team, nowMs) + (fleet.teams(service, nowMs).get(team)?.use ?? 0);
+	}
+
+	/** Use beyond which a team lets the teams go first that wait at other VMs. */
+	useCeiling(nowMs: number): number {
+		const {service, fleet} = this.#options;
+		const uses = [...fleet.waitingElsewhere(service)].map(team => this.useOf(team, nowMs));
+		return uses.length === 0 ? Infinity : (Math.min(...uses) * LEAD_FACTOR) + (this.#averageCost * LEAD_REQUESTS);
+	}
+
+	/** Whether a team received its max-min share, so that its requests give way to others'. */
+	isBeyondShare(team: string, nowMs: number): boolean {
+		if (nowMs >= this.#share.untilMs) {
+			this.#share = {use: this.#shareOfUse(nowMs), untilMs: nowMs + SHARE_EVERY_MS};
+		}
+
+		return this.useOf(team, nowMs) > this.#share.use;
+	}
+
+	#shareOfUse(nowMs: number): number {
+		const {service, fleet, capacityPerS} = this.#options;
+		const capacity = capacityPerS();
+		if (capacity === undefined) {
+			return Infinity;
+		}
+
+		const asked = new Map([...fleet.teams(service, nowMs)].map(([team, sum]) => [team, sum.asked]));
+		for (const [team, sum] of this.own(nowMs)) {
+			asked.set(team, (asked.get(team) ?? 0) + sum.asked);
+		}
+
+		// A steady rate shows as the cost of one decay time.
+		return fairLevel([...asked.values()], capacity * DECAY_MS / MS_PER_S) * SHARE_MARGIN;
+	}
+}
--- a/src/core/placement/team-use.ts
+++ b/src/core/placement/team-use.ts
@@ -5,7 +5,7 @@
  */
 
 /** Milliseconds after which a request's cost counts 1/e. */
-const DECAY_MS = 3000;
+export const DECAY_MS = 3000;
 
 type Use = {readonly cost: number; readonly atMs: number};
 
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -51,6 +51,8 @@
 	readonly coldPerS: number;
 	/** Absent for plain services. */
 	readonly engine: ModelEngine | undefined;
+	/** Tokens a second that all its engines produce together, a generated one counting twice; absent if unknown. */
+	readonly tokensPerS: number | undefined;
 };
 
 /** Limits on what callers may send. */
@@ -60,8 +62,6 @@
 	readonly headerTimeoutMs: number;
 	/** Milliseconds for which callers may keep a connection idle. */
 	readonly idleTimeoutMs: number;
-	/** Tokens a second that the model engines produce together, if the operators name it. */
-	readonly tokensPerS: number | undefined;
 };
 
 /** One version of the routing configuration. */
--- a/src/runtime/routing/load-exchange.ts
+++ b/src/runtime/routing/load-exchange.ts
@@ -73,7 +73,7 @@
 			const bytes = toBinary(LoadReportSchema, create(LoadReportSchema, {
 				vm, incarnation, sequence: ++sequence,
 				targets: targets().map(load => ({...load, readingTokens: Math.round(load.readingTokens), heldTokens: Math.round(load.heldTokens)})),
-				teams: teams().map(load => ({...load, use: Math.round(load.use)})),
+				teams: teams().map(load => ({...load, use: Math.round(load.use), asked: Math.round(load.asked)})),
 				prompts: prompts.map(({target, keys, newTokens}) => ({target, keys: [...keys], newTokens: Math.round(newTokens)})),
 			}));
 			for (const {host, port} of addresses) {
--- a/test/placement/_service.ts
+++ b/test/placement/_service.ts
@@ -10,11 +10,11 @@
 };
 
 export const modelService: RoutedService = {
-	name: 'tariff', healthPath: '/healthz', maxConnections: 360, coldStartMs: 3000, coldPerS: 10, engine: {slots: 64, kvCapacityTokens: 400_000, canCopyPrompts: true},
+	name: 'tariff', healthPath: '/healthz', maxConnections: 360, coldStartMs: 3000, coldPerS: 10, engine: {slots: 64, kvCapacityTokens: 400_000, canCopyPrompts: true}, tokensPerS: undefined,
 };
 
 export const plainService: RoutedService = {
-	name: 'ledger', healthPath: '/healthz', maxConnections: 100, coldStartMs: 0, coldPerS: 0, engine: undefined,
+	name: 'ledger', healthPath: '/healthz', maxConnections: 100, coldStartMs: 0, coldPerS: 0, engine: undefined, tokensPerS: undefined,
 };
 
 export const target = (id: string, changes: Partial<TargetRecord> = {}): TargetRecord => ({
--- /dev/null
+++ b/test/placement/fair-level.test.ts
@@ -0,0 +1,25 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {fairLevel} from '../../src/core/placement/fair-level.js';
+
+test('there is no level while there is enough for all', t => {
+	t.is(fairLevel([], 10), Infinity);
+	t.is(fairLevel([1, 9], 10), Infinity);
+});
+
+test('who asks for little receives it, the others receive the same', t => {
+	t.is(fairLevel([100, 2, 50], 12), 5);
+	t.is(fairLevel([3, 3, 3], 6), 2);
+});
+
+test('the parts below the level add up to the capacity', t => {
+	const holds = fc.property(fc.array(fc.nat({max: 10_000}), {minLength: 1}), fc.integer({min: 1, max: 100_000}), (demands, capacity) => {
+		const level = fairLevel(demands, capacity);
+		const given = demands.reduce((sum, demand) => sum + Math.min(demand, level), 0);
+		const asked = demands.reduce((sum, demand) => sum + demand, 0);
+		return Math.abs(given - Math.min(asked, capacity)) < 0.001 * capacity;
+	});
+	t.notThrows(() => {
+		fc.assert(holds, {seed: 7});
+	});
+});
--- a/test/placement/service-placement.test.ts
+++ b/test/placement/service-placement.test.ts
@@ -145,7 +145,7 @@
 
 	const waiting = {
 		vm: 'vm-2', incarnation: 'i', sequence: 1, targets: [], teams: [{
-			service: 'tariff', team: 'small', use: 100, waits: true,
+			service: 'tariff', team: 'small', use: 100, asked: 100, waits: true,
 		}],
 	};
 	fleet.take(waiting, 30);
@@ -176,3 +176,19 @@
 	fleet.expire(5000);
 	t.is(fleet.at('t1').running, 0);
 });
+
+test('a team that received its share gives way, and starts all the same while there is room', t => {
+	const placement = withTargets(createPlacement({service: {...modelService, tokensPerS: 3000}}), ['t1', 't2']);
+	const start = (team: string, nowMs: number) => targetsOf(placement.handle({kind: 'ask', ask: ask(team, nowMs, {prompt: prompt(`${team}-${nowMs}`, 5000)})}, nowMs)).length;
+	t.is(start('small', 0), 1);
+	let large = 0;
+	for (let count = 0; count < 40; count++) {
+		large += start('large', 100 + (count * 10));
+	}
+
+	t.true(large > 0 && large < 40, `${large} started`);
+	t.is(start('large', 500), 0);
+	start('small', 501);
+	const started = placement.handle({kind: 'tick'}, 505).flatMap(effect => effect.kind === 'grant' ? effect.ask.team : []);
+	t.deepEqual(started, ['small'], 'what the large team left is there for the small one');
+});
