Tell a reset that waits behind the last bytes from an orderly end

A reset socket has no peer any more.

Streams that pause are not ended; resumed requests start at once; idle connections are kept as long as targets name.

--- a/src/core/attempt/attempt.ts
+++ b/src/core/attempt/attempt.ts
@@ -161,9 +161,13 @@
 		: end(state, 'answered', [...before, ...(state.callerLeft ? [] : [{kind: 'deliver-error'} as const])]);
 };
 
+/** Whether another target may do what is left of the request. */
+const mayGoOn = (state: AttemptState, spec: AttemptSpec, nowMs: number): boolean =>
+	spec.repeat === 'safe' && (!state.delivering || spec.isResumable === true) && hasTargetLeft(state, spec) && spec.takeRetry(nowMs);
+
 /** Another target is tried while one is silent, if the request may be repeated; else there is nothing better than to wait. */
 const onSilent = (state: AttemptState, spec: AttemptSpec, nowMs: number): AttemptStep => {
-	const mayRepeat = state.kind === 'sent' && spec.repeat === 'safe' && !state.callerLeft && hasTargetLeft(state, spec) && spec.takeRetry(nowMs);
+	const mayRepeat = state.kind === 'sent' && !state.callerLeft && mayGoOn(state, spec, nowMs);
 	return mayRepeat
 		? askAgain('silent', [{kind: 'abandon-call'}, ...endGrant(state, nowMs, {kind: 'failed', cost: 0})])({...state, mayHaveRun: true}, spec, nowMs)
 		: stay(state);
@@ -199,9 +203,7 @@
 		return end(state, 'cancelled', before);
 	}
 
-	const mayRepeat = spec.repeat === 'safe' && (!state.delivering || spec.isResumable === true)
-		&& hasTargetLeft(state, spec) && spec.takeRetry(nowMs);
-	return mayRepeat
+	return mayGoOn(state, spec, nowMs)
 		? askAgain('failed', before)({...state, mayHaveRun: true}, spec, nowMs)
 		: refuse(state, brokenRefusal(state, spec, message.reason), before);
 };
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -42,6 +42,8 @@
 	readonly arrivedMs: number;
 	/** Targets that this request was sent to before. */
 	readonly tried: readonly string[];
+	/** Whether the caller has part of the answer and waits for its next event. */
+	readonly isResumed?: boolean;
 };
 
 /** What an answer says of its target's load. */
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -190,7 +190,7 @@
 			}];
 		}
 
-		if (this.#queues.isEmpty && this.#shares.useOf(ask.team, nowMs) <= this.#shares.useCeiling(nowMs)) {
+		if (ask.isResumed === true || (this.#queues.isEmpty && this.#shares.useOf(ask.team, nowMs) <= this.#shares.useCeiling(nowMs))) {
 			const candidate = chooseTarget(ask, {...ctx, givesWay: this.#shares.isBeyondShare(ask.team, nowMs)});
 			if (candidate) {
 				return [this.#grant(ask, candidate, nowMs)];
--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -97,19 +97,24 @@
 };
 
 /** Memory and slots bound what a model engine takes; slots bound what a plain target takes. */
-const hasRoom = (target: PlacedTarget, others: Load, {prompt}: PlacedAsk, {service: {engine}, givesWay}: ChoiceContext): boolean => {
+const hasRoom = (target: PlacedTarget, others: Load, {prompt, isResumed}: PlacedAsk, {service: {engine}, givesWay}: ChoiceContext): boolean => {
 	const running = target.running + others.running;
 	if (!prompt || !engine) {
 		return running < target.record.slots * PLAIN_PER_SLOT;
 	}
 
 	const tokens = target.heldTokens + others.heldTokens + prompt.tokens + prompt.outputTokens;
-	return running < Math.max(1, engine.slots * (givesWay ? YIELDING_RUNNING_SHARE : RUNNING_SHARE)) && (running === 0 || tokens <= engine.kvCapacityTokens * MEMORY_SHARE);
+	const slotShare = givesWay && isResumed !== true ? YIELDING_RUNNING_SHARE : RUNNING_SHARE;
+	return running < Math.max(1, engine.slots * slotShare) && (running === 0 || tokens <= engine.kvCapacityTokens * MEMORY_SHARE);
 };
 
-/** A large prompt that cannot be in time by itself is started when little is ahead of it, rather than never. */
-const startsInTime = ({targetLatencyMs}: PlacedAsk, {predictedMs, waitedMs}: PlacementReason, ownMs: number, givesWay: boolean): boolean =>
-	(givesWay ? predictedMs <= targetLatencyMs * YIELDING_START_SHARE : waitedMs + predictedMs <= targetLatencyMs * START_SHARE)
+/**
+ * A large prompt that cannot be in time by itself is started when little is ahead of it,
+ * rather than never. What has begun goes on at once: its caller waits in mid-answer.
+ */
+const startsInTime = ({targetLatencyMs, isResumed}: PlacedAsk, {predictedMs, waitedMs}: PlacementReason, ownMs: number, givesWay: boolean): boolean =>
+	isResumed === true
+	|| (givesWay ? predictedMs <= targetLatencyMs * YIELDING_START_SHARE : waitedMs + predictedMs <= targetLatencyMs * START_SHARE)
 	|| predictedMs - ownMs <= Math.min(targetLatencyMs * LARGE_BACKLOG_SHARE, ownMs);
 
 /** The home of a prompt's shared parts, which all VMs choose alike by a hash. */
--- a/src/runtime/entry/attempt-inputs.ts
+++ b/src/runtime/entry/attempt-inputs.ts
@@ -16,13 +16,23 @@
 	...(job.route && {maxTargets: job.route.maxTargets, isResumable: job.route.isResumable, budgetsDeclined: true}),
 });
 
+/** What became of a job before it is asked for again. */
+export type AskHistory = {
+	/** Targets that it was sent to. */
+	readonly tried: readonly string[];
+	/** Whether its caller has part of the answer. */
+	readonly isResumed: boolean;
+};
+
+const noHistory: AskHistory = {tried: [], isResumed: false};
+
 /** A repeat has a latency target of its own, since the first one has usually passed. */
-const placementOf = (job: Job, {targetLatencyMs, prompt}: JobRoute, tried: readonly string[], nowMs: number): AskPlacement => ({
-	targetLatencyMs, arrivedMs: tried.length === 0 ? job.arrivedMs : nowMs, tried, ...(prompt && {prompt}),
+const placementOf = (job: Job, {targetLatencyMs, prompt}: JobRoute, {tried, isResumed}: AskHistory, nowMs: number): AskPlacement => ({
+	targetLatencyMs, arrivedMs: tried.length === 0 ? job.arrivedMs : nowMs, tried, isResumed, ...(prompt && {prompt}),
 });
 
 /** The ask for a job, with its cost as expected now. */
-export const askOf = (job: Job, ctx: AttemptContext, tried: readonly string[] = []): Ask => {
+export const askOf = (job: Job, ctx: AttemptContext, history = noHistory): Ask => {
 	const {initialCost, maxCost} = job.serviceConfig;
 	const hint = job.costHint === undefined ? {} : {hint: job.costHint};
 	return {
@@ -33,6 +43,6 @@
 		deadlineMs: job.startByMs,
 		...(job.costHint !== undefined && {costHint: job.costHint}),
 		...(job.prefixHash !== undefined && {prefixHash: job.prefixHash}),
-		...(job.route && {placement: placementOf(job, job.route, tried, ctx.clock.nowMs())}),
+		...(job.route && {placement: placementOf(job, job.route, history, ctx.clock.nowMs())}),
 	};
 };
--- a/src/runtime/entry/attempt-task.ts
+++ b/src/runtime/entry/attempt-task.ts
@@ -227,7 +227,7 @@
 	async #ask(): Promise<void> {
 		let message: AttemptMessage;
 		try {
-			this.#pending = this.#ctx.scheduler.ask(askOf(this.#job, this.#ctx, this.#tried));
+			this.#pending = this.#ctx.scheduler.ask(askOf(this.#job, this.#ctx, {tried: this.#tried, isResumed: this.#state.delivering}));
 			message = {kind: 'granted', grant: await this.#pending.granted};
 		} catch (error) {
 			message = {kind: 'rejected', refusal: asRefusal(error)};
--- a/src/runtime/entry/entry-errors-data.ts
+++ b/src/runtime/entry/entry-errors-data.ts
@@ -7,3 +7,10 @@
 	message: () => 'The call was dropped by the router.',
 	hint: 'Nothing is to be done: the request was withdrawn, cancelled or asked for again.',
 } as const satisfies ErrorData;
+
+export const ConnectionReset = {
+	name: 'ConnectionReset',
+	title: 'A connection to a target was reset.',
+	message: () => 'The target reset the connection, possibly in the middle of an answer.',
+	hint: 'See whether the target crashed; the request is repeated where that is allowed.',
+} as const satisfies ErrorData;
--- a/src/runtime/entry/target-pools.ts
+++ b/src/runtime/entry/target-pools.ts
@@ -1,11 +1,16 @@
 /** Connections to targets, one bounded pool for each address. */
+import {type Socket} from 'node:net';
 import {buildConnector, Pool} from 'undici';
+import {JackdawwoodError} from '../../core/errors/jackdawwood-error.js';
+import {ConnectionReset} from './entry-errors-data.js';
 
 /** Connections to one target, beyond which calls wait. Slots keep the use far below. */
 const MAX_CONNECTIONS = 512;
 const CONNECT_TIMEOUT_MS = 1000;
-/** Idle connections are closed before a target's usual five seconds are over. */
+/** Idle connections are closed before a target's usual five seconds are over, or before the time that it names itself. */
 const KEEP_ALIVE_MS = 3000;
+/** The longest named time that is believed: idle connections hold descriptors here and places at the target. */
+const MAX_KEEP_ALIVE_MS = 15_000;
 
 export type TargetPools = {
 	/** Returns the pool of an address as it is now; it is not to be kept. */
@@ -27,11 +32,32 @@
 	}
 };
 
+/**
+ * Node reports an orderly end when a reset waits behind the last bytes. Only an orderly
+ * end leaves the socket with a peer, so one without becomes the error that it is.
+ */
+const tellResetFromEnd = (socket: Socket): void => {
+	const emit = socket.emit.bind(socket) as (event: string | symbol, ...args: unknown[]) => boolean;
+	socket.emit = (event: string | symbol, ...args: unknown[]): boolean => {
+		if (event === 'end' && socket.remoteAddress === undefined) {
+			socket.destroy(new JackdawwoodError(ConnectionReset));
+			return true;
+		}
+
+		return emit(event, ...args);
+	};
+};
+
 const createConnector = (timeout: number): buildConnector.connector => {
 	const connect = buildConnector({timeout});
 	return (options, callback) => {
 		connect(options, (...result) => {
-			result[1]?.prependListener('error', markReset);
+			const [, socket] = result;
+			if (socket) {
+				socket.prependListener('error', markReset);
+				tellResetFromEnd(socket);
+			}
+
 			callback(...result);
 		});
 	};
@@ -51,7 +77,7 @@
 		pipelining: 1,
 		connect: createConnector(connectTimeoutMs),
 		keepAliveTimeout: KEEP_ALIVE_MS,
-		keepAliveMaxTimeout: KEEP_ALIVE_MS,
+		keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
 		keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
 	});
 	pool.on('connectionError', () => {
--- a/test/attempt/routed.test.ts
+++ b/test/attempt/routed.test.ts
@@ -70,6 +70,12 @@
 	}
 });
 
+test('a stream that pauses in the middle is left only when it may be resumed', t => {
+	const messages: readonly AttemptMessage[] = [...first, {kind: 'delivering'}, {kind: 'silent'}];
+	t.true(run(messages, spec({isResumable: true})).kinds.includes('abandon-call'));
+	t.is(run(messages, spec({isResumable: false})).state.kind, 'sent');
+});
+
 test('a failure that a target answered is passed on when no other target is found', t => {
 	const {state, kinds} = run([...first, {kind: 'error-answer'}, {kind: 'rejected', refusal: new RefusalError(NoTarget, {service: 's'})}], spec());
 	t.is(state.kind, 'ended');
--- a/test/placement/service-placement.test.ts
+++ b/test/placement/service-placement.test.ts
@@ -192,3 +192,15 @@
 	const started = placement.handle({kind: 'tick'}, 505).flatMap(effect => effect.kind === 'grant' ? effect.ask.team : []);
 	t.deepEqual(started, ['small'], 'what the large team left is there for the small one');
 });
+
+test('what has begun goes on at once, before all that waits', t => {
+	const placement = withTargets(createPlacement(), ['t1']);
+	const start = (changes: Parameters<typeof ask>[2]) => targetsOf(placement.handle({kind: 'ask', ask: ask('team', 0, {prompt: prompt('s', 9000), ...changes})}, 0));
+	let started = 0;
+	while (start({}).length > 0) {
+		started++;
+	}
+
+	t.true(started > 0);
+	t.deepEqual(start({isResumed: true}), ['t1']);
+});
--- a/test/platform/whole-path.test.ts
+++ b/test/platform/whole-path.test.ts
@@ -141,6 +141,16 @@
 	t.true(res.cut || res.status === 502);
 });
 
+test('nor does one whose reset arrives together with its last bytes', async t => {
+	const {call, ledgers} = await startPlatform(t);
+	for (const target of ledgers) {
+		target.failNext('reset-with-last-bytes');
+	}
+
+	const res = await call('/debit/1', post);
+	t.true(res.cut || res.status === 502);
+});
+
 test('a target that stays silent is left for another one', async t => {
 	const {call, ledgers} = await startPlatform(t);
 	ledgers[0].failNext('silent');
@@ -151,6 +161,19 @@
 	t.true([502, 504].includes(res.status));
 });
 
+test('a stream that pauses goes on elsewhere only where that is allowed, and is not ended sooner', async t => {
+	const {call, models} = await startPlatform(t);
+	for (const target of models) {
+		target.failNext('pause-stream');
+	}
+
+	t.like(await call('/chat/1', post), {status: 200, body: wholeStream, cut: false});
+	t.is(ranAt(...models), 1);
+	const paused = models.find(target => target.arrivals().length === 0);
+	t.is(paused?.cancelled(), 0);
+	t.like(await call('/brief/1', post), {status: 200, body: wholeStream, cut: false});
+});
+
 test('a caller that leaves takes its run along', async t => {
 	const {call, models} = await startPlatform(t);
 	for (const target of models) {
