Resumed requests wait longer, and start like others

Cause: starting them at once, whatever was ahead, took the place of requests that could still be in time; what is resumed is late already.

--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -22,6 +22,8 @@
 
 /** Part of the target latency for which a request waits before it is refused. */
 const WAIT_SHARE = 0.6;
+/** The same for a request whose caller has part of the answer: the rest is late already, and callers wait longer in mid-answer. */
+const RESUME_WAIT_SHARE = 2;
 /** Asks of one team that are looked at in one round; the first that can start does. */
 const LOOK_AHEAD = 4;
 /** Milliseconds after which a waiting team is reported to the other VMs. */
@@ -190,7 +192,7 @@
 			}];
 		}
 
-		if (ask.isResumed === true || (this.#queues.isEmpty && this.#shares.useOf(ask.team, nowMs) <= this.#shares.useCeiling(nowMs))) {
+		if (this.#queues.isEmpty && this.#shares.useOf(ask.team, nowMs) <= this.#shares.useCeiling(nowMs)) {
 			const candidate = chooseTarget(ask, {...ctx, givesWay: this.#shares.isBeyondShare(ask.team, nowMs)});
 			if (candidate) {
 				return [this.#grant(ask, candidate, nowMs)];
@@ -348,7 +350,7 @@
 	}
 
 	#expire(nowMs: number): readonly PlacementEffect[] {
-		const late = this.#queues.remove(ask => nowMs >= Math.min(ask.deadlineMs, ask.arrivedMs + (ask.targetLatencyMs * WAIT_SHARE)));
+		const late = this.#queues.remove(ask => nowMs >= Math.min(ask.deadlineMs, ask.arrivedMs + (ask.targetLatencyMs * (ask.isResumed === true ? RESUME_WAIT_SHARE : WAIT_SHARE))));
 		return late.map(ask => ({
 			kind: 'reject', ask, reason: 'too-late', retryAfterMs: this.#retryAfterMs(),
 		}));
--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -110,11 +110,10 @@
 
 /**
  * A large prompt that cannot be in time by itself is started when little is ahead of it,
- * rather than never. What has begun goes on at once: its caller waits in mid-answer.
+ * rather than never. What has begun cannot be in time any more, so its wait does not count.
  */
 const startsInTime = ({targetLatencyMs, isResumed}: PlacedAsk, {predictedMs, waitedMs}: PlacementReason, ownMs: number, givesWay: boolean): boolean =>
-	isResumed === true
-	|| (givesWay ? predictedMs <= targetLatencyMs * YIELDING_START_SHARE : waitedMs + predictedMs <= targetLatencyMs * START_SHARE)
+	(givesWay && isResumed !== true ? predictedMs <= targetLatencyMs * YIELDING_START_SHARE : (isResumed === true ? 0 : waitedMs) + predictedMs <= targetLatencyMs * START_SHARE)
 	|| predictedMs - ownMs <= Math.min(targetLatencyMs * LARGE_BACKLOG_SHARE, ownMs);
 
 /** The home of a prompt's shared parts, which all VMs choose alike by a hash. */
