At most 0.6 of an engine's slots in use, 0.3 for requests that give way

Cause: each running request slows the tokens of all others, so long answers ended past their deadline while short ones waited no less.

--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -14,10 +14,10 @@
 /** Part of a model engine's memory that is planned with, since output lengths are only hints. */
 const MEMORY_SHARE = 0.85;
 /** Largest part of the slots that model requests of all VMs together take. Beyond it tokens come too slowly for long answers to end in time. */
-const RUNNING_SHARE = 0.75;
+const RUNNING_SHARE = 0.6;
 /** The same two for requests that give way, so that what comes after them finds room. */
 const YIELDING_START_SHARE = 0.25;
-const YIELDING_RUNNING_SHARE = 0.4;
+const YIELDING_RUNNING_SHARE = 0.3;
 /** Requests that a plain target may have for each slot, the rest waiting there. */
 const PLAIN_PER_SLOT = 2;
 /** Milliseconds that each running request costs, as a price when targets are compared. */
