Bound what runs at an engine by its memory rather than by its slots

Cause: long prompts hold the memory in which shared parts are kept, and slow the tokens of all; the bound on slots also kept out short requests that do neither. Half of the memory and 0.85 of the slots; a quarter and half for requests that give way.

--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -11,13 +11,14 @@
 const START_SHARE = 0.55;
 /** Part of the target latency that others' prompts may take ahead of one that cannot be in time by itself. */
 const LARGE_BACKLOG_SHARE = 0.03;
-/** Part of a model engine's memory that is planned with, since output lengths are only hints. */
-const MEMORY_SHARE = 0.85;
+/** Part of a model engine's memory that running requests take; the rest keeps prompt parts for the next ones. Measured, see the note on the platform. */
+const MEMORY_SHARE = 0.5;
 /** Largest part of the slots that model requests of all VMs together take. Beyond it tokens come too slowly for long answers to end in time. */
-const RUNNING_SHARE = 0.6;
-/** The same two for requests that give way, so that what comes after them finds room. */
+const RUNNING_SHARE = 0.85;
+/** The same three for requests that give way, so that what comes after them finds room. */
 const YIELDING_START_SHARE = 0.25;
-const YIELDING_RUNNING_SHARE = 0.3;
+const YIELDING_RUNNING_SHARE = 0.5;
+const YIELDING_MEMORY_SHARE = 0.25;
 /** Requests that a plain target may have for each slot, the rest waiting there. */
 const PLAIN_PER_SLOT = 2;
 /** Milliseconds that each running request costs, as a price when targets are compared. */
@@ -104,8 +105,8 @@
 	}
 
 	const tokens = target.heldTokens + others.heldTokens + prompt.tokens + prompt.outputTokens;
-	const slotShare = givesWay && isResumed !== true ? YIELDING_RUNNING_SHARE : RUNNING_SHARE;
-	return running < Math.max(1, engine.slots * slotShare) && (running === 0 || tokens <= engine.kvCapacityTokens * MEMORY_SHARE);
+	const [slotShare, memoryShare] = givesWay && isResumed !== true ? [YIELDING_RUNNING_SHARE, YIELDING_MEMORY_SHARE] : [RUNNING_SHARE, MEMORY_SHARE];
+	return running < Math.max(1, engine.slots * slotShare) && (running === 0 || tokens <= engine.kvCapacityTokens * memoryShare);
 };
 
 /**
