--- a/src/core/placement/messages.ts
+++ b/src/core/placement/messages.ts
@@ -21,7 +21,7 @@
 
 export type PlacementEffect =
 	| {readonly kind: 'grant'; readonly ask: PlacedAsk; readonly grantId: string; readonly target: TargetRecord; readonly because: PlacementReason}
-	| {readonly kind: 'reject'; readonly ask: PlacedAsk; readonly reason: 'no-target' | 'too-late'; readonly retryAfterMs: number};
+	| {readonly kind: 'reject'; readonly ask: PlacedAsk; readonly reason: 'no-target' | 'too-late'; readonly retryAfterMs: number; readonly givesWay: boolean};
 
 /** The inputs that decided a placement, for the log. */
 export type PlacementReason = {
@@ -38,4 +38,6 @@
 	readonly waitedMs: number;
 	/** Target that passes on the prompt parts that it keeps. */
 	readonly copyFrom: TargetRecord | undefined;
+	/** Whether the team had received its share, so that the request gave way to others. */
+	readonly givesWay: boolean;
 };
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -188,7 +188,7 @@
 
 		if (!hasTargetLeft(ask, ctx)) {
 			return [{
-				kind: 'reject', ask, reason: 'no-target', retryAfterMs: NO_TARGET_RETRY_AFTER_MS,
+				kind: 'reject', ask, reason: 'no-target', retryAfterMs: NO_TARGET_RETRY_AFTER_MS, givesWay: false,
 			}];
 		}
 
@@ -352,7 +352,7 @@
 	#expire(nowMs: number): readonly PlacementEffect[] {
 		const late = this.#queues.remove(ask => nowMs >= Math.min(ask.deadlineMs, ask.arrivedMs + (ask.targetLatencyMs * (ask.isResumed === true ? RESUME_WAIT_SHARE : WAIT_SHARE))));
 		return late.map(ask => ({
-			kind: 'reject', ask, reason: 'too-late', retryAfterMs: this.#retryAfterMs(),
+			kind: 'reject', ask, reason: 'too-late', retryAfterMs: this.#retryAfterMs(), givesWay: this.#shares.isBeyondShare(ask.team, nowMs),
 		}));
 	}
 
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -69,7 +69,12 @@
 			waiters.delete(effect.ask.requestId);
 			if (effect.kind === 'reject') {
 				log.info('request not placed', {
-					request_id: effect.ask.requestId, service, reason: effect.reason, retry_after_ms: Math.round(effect.retryAfterMs), waited_ms: Math.round(clock.nowMs() - effect.ask.arrivedMs),
+					request_id: effect.ask.requestId,
+					service,
+					reason: effect.reason,
+					gives_way: effect.givesWay,
+					retry_after_ms: Math.round(effect.retryAfterMs),
+					waited_ms: Math.round(clock.nowMs() - effect.ask.arrivedMs),
 				});
 				waiter?.reject(new RefusalError(effect.reason === 'no-target' ? NoTarget : DeadlinePassed, {service}, {retryAfterMs: effect.retryAfterMs}));
 				continue;
@@ -86,6 +91,7 @@
 				running: because.running,
 				others: because.othersRunning,
 				cold: because.isCold,
+				gives_way: because.givesWay,
 				heartbeat_age_ms: Math.round(because.heartbeatAgeMs),
 				vms_heard: loads.heard,
 				config_version: view.inForce()?.config.version,
@@ -150,7 +156,7 @@
 			tell(service, {kind: 'ask', ask: placed});
 		} else {
 			perform(service, [{
-				kind: 'reject', ask: placed, reason: 'no-target', retryAfterMs: DEFAULT_LATENCY_MS,
+				kind: 'reject', ask: placed, reason: 'no-target', retryAfterMs: DEFAULT_LATENCY_MS, givesWay: false,
 			}]);
 		}
 
--- a/src/runtime/routing/serve-request.ts
+++ b/src/runtime/routing/serve-request.ts
@@ -23,11 +23,14 @@
 
 type Exchange = {readonly req: IncomingMessage; readonly answer: CallerAnswer; readonly head: RoutedHead};
 
+/** Without the query, which may hold what no log should. */
+const pathOf = (req: IncomingMessage): string => (req.url ?? '/').split('?', 1)[0] ?? '/';
+
 const refuse = ({req, answer, head}: Exchange, err: unknown, {attempts: {log, metrics}}: ServeContext): void => {
 	const refusal = asRefusal(err);
 	metrics.refusals.inc({reason: refusal.data.name, not_run: String(refusal.notRun)});
 	log.info('request refused', {
-		request_id: head.requestId, reason: refusal.data.name, fault: refusal.message, host: head.host, path: req.url,
+		request_id: head.requestId, reason: refusal.data.name, fault: refusal.message, host: head.host, path: pathOf(req),
 	});
 	req.resume();
 	answer.refuse(refusal);
@@ -46,7 +49,7 @@
 	});
 	attempts.metrics.openRequests.inc();
 	try {
-		const routed = routeRequest(view, head, req.url ?? '/');
+		const routed = routeRequest(view, head, pathOf(req));
 		const body = await readBody(req, attempts.limits);
 		const job = createJob(req, {
 			head, routed, body, arrivedMs,
--- a/test/platform/_platform.ts
+++ b/test/platform/_platform.ts
@@ -3,6 +3,8 @@
 import {type ExecutionContext} from 'ava';
 import {Agent, request, type Dispatcher} from 'undici';
 import {startPlatformRouter, type PlatformRouter} from '../../platform/start-platform-router.js';
+import {type Log} from '../../src/runtime/observe/log.js';
+import {createVmBase} from '../../src/runtime/router/vm-base.js';
 import {parseSettings} from '../../src/core/settings/parse-settings.js';
 import {startWorksStore, type WorksStore} from '../../standins/works/works-store.js';
 import {startWorksTarget, type WorksTarget} from '../../standins/works/works-target.js';
@@ -112,7 +114,7 @@
 `;
 
 /** Starts everything and resolves when the router is ready. */
-export const startPlatform = async (t: ExecutionContext): Promise<Platform> => {
+export const startPlatform = async (t: ExecutionContext, log?: Log): Promise<Platform> => {
 	const store = await startWorksStore();
 	const [m1, m2, l1, l2] = await Promise.all([
 		startWorksTarget({id: 'm1', stream: true}),
@@ -147,7 +149,7 @@
 		throw new Error(JSON.stringify(faults));
 	}
 
-	const router = await startPlatformRouter(settings);
+	const router = await startPlatformRouter(settings, {...createVmBase(settings), ...(log && {log})});
 	const agent = new Agent({connections: 10});
 	t.teardown(async () => {
 		await router.stop();
