--- a/src/runtime/observe/line-writer.ts
+++ b/src/runtime/observe/line-writer.ts
@@ -6,6 +6,8 @@
 import {write as writeFile, writeSync} from 'node:fs';
 import {type WriteLine} from './log.js';
 
+/** Bytes of one write at most (POSIX's PIPE_BUF): a pipe takes such a write whole or not at all, so lines of processes that share it are not cut. */
+const MAX_WRITE_BYTES = 4096;
 /** Milliseconds for which lines are gathered. */
 const GATHER_MS = 100;
 /** Bytes held at most while the reader is slow; about a second of a busy VM's lines. */
@@ -14,7 +16,7 @@
 const ROUTINE_SHARE = 0.5;
 
 /** Writes a text and calls back when it is written. */
-export type WriteText = (text: string, done: (err: Error | undefined) => void) => void;
+export type WriteText = (text: string, done: (err: NodeJS.ErrnoException | undefined) => void) => void;
 
 export type LineWriterOptions = {
 	readonly write: WriteText;
@@ -28,8 +30,12 @@
 	readonly takeHeld: () => string;
 };
 
+type Line = {readonly text: string; readonly isRoutine: boolean};
 type Dropped = {routine: number; other: number};
 
+/** A reader that is slow, not gone. */
+const isBusy = (err: NodeJS.ErrnoException): boolean => err.code === 'EAGAIN';
+
 /** Writes to a file descriptor on a thread of its own, whatever the descriptor is. */
 export const descriptorWrite = (descriptor: number): WriteText => (text, done) => {
 	writeFile(descriptor, text, err => {
@@ -47,42 +53,80 @@
 };
 
 export const createLineWriter = ({write, maxHeldBytes = MAX_HELD_BYTES, gatherMs = GATHER_MS}: LineWriterOptions): LineWriter => {
-	let held: string[] = [];
+	let held: Line[] = [];
 	let heldBytes = 0;
 	let dropped: Dropped = {routine: 0, other: 0};
 	let isWriting = false;
 	let timer: NodeJS.Timeout | undefined;
 
-	const takeHeld = (): string => {
+	const noteDropped = ({isRoutine}: Line): void => {
+		dropped[isRoutine ? 'routine' : 'other']++;
+	};
+
+	/** Tells what was dropped, and takes the held lines that fit into one write, at least one. */
+	const takeLines = (maxBytes: number): readonly Line[] => {
 		const {routine, other} = dropped;
-		const tail = routine + other > 0
-			? `${JSON.stringify({
+		if (routine + other > 0) {
+			dropped = {routine: 0, other: 0};
+			const text = `${JSON.stringify({
 				time: new Date().toISOString(), level: 'warn', event: 'log lines dropped', routine, other,
-			})}\n`
-			: '';
-		const text = held.join('') + tail;
-		held = [];
-		heldBytes = 0;
-		dropped = {routine: 0, other: 0};
-		return text;
+			})}\n`;
+			held.push({text, isRoutine: false});
+			heldBytes += text.length;
+		}
+
+		let bytes = 0;
+		let count = 0;
+		for (const {text} of held) {
+			bytes += text.length;
+			if (count > 0 && bytes > maxBytes) {
+				break;
+			}
+
+			count++;
+		}
+
+		const taken = held.slice(0, count);
+		held = held.slice(count);
+		heldBytes -= taken.reduce((sum, {text}) => sum + text.length, 0);
+		return taken;
 	};
 
+	const giveBack = (lines: readonly Line[]): void => {
+		held = [...lines, ...held];
+		heldBytes += lines.reduce((sum, {text}) => sum + text.length, 0);
+	};
+
+	const textOf = (lines: readonly Line[]): string => lines.map(({text}) => text).join('');
+
 	const flush = (): void => {
 		timer = undefined;
-		if (isWriting || (held.length === 0 && dropped.routine + dropped.other === 0)) {
+		if (isWriting) {
+			return;
+		}
+
+		const lines = takeLines(MAX_WRITE_BYTES);
+		if (lines.length === 0) {
 			return;
 		}
 
 		isWriting = true;
-		write(takeHeld(), err => {
+		write(textOf(lines), err => {
 			isWriting = false;
-			if (err) {
-				dropped.other++;
+			if (!err) {
+				flush();
+				return;
 			}
 
-			if (held.length > 0) {
-				arm();
+			if (isBusy(err)) {
+				giveBack(lines);
+			} else {
+				for (const line of lines) {
+					noteDropped(line);
+				}
 			}
+
+			arm();
 		});
 	};
 
@@ -94,14 +138,14 @@
 		write(line, isRoutine) {
 			const limit = isRoutine ? maxHeldBytes * ROUTINE_SHARE : maxHeldBytes;
 			if (heldBytes + line.length > limit) {
-				dropped[isRoutine ? 'routine' : 'other']++;
+				noteDropped({text: line, isRoutine});
 				return;
 			}
 
-			held.push(line);
+			held.push({text: line, isRoutine});
 			heldBytes += line.length;
 			arm();
 		},
-		takeHeld,
+		takeHeld: () => textOf(takeLines(Infinity)),
 	};
 };
--- a/test/observe/line-writer.test.ts
+++ b/test/observe/line-writer.test.ts
@@ -50,6 +50,53 @@
 	t.regex(second, /"event":"log lines dropped","routine":75,"other":0/v);
 });
 
+test('each write is of whole lines that a pipe takes at once, and all lines arrive in order', async t => {
+	const texts: string[] = [];
+	const lines = createLineWriter({
+		gatherMs: 0,
+		write(text, done) {
+			texts.push(text);
+			setImmediate(() => {
+				done(undefined);
+			});
+		},
+	});
+	const sent = Array.from({length: 200}, (_, index) => `${index} ${'x'.repeat((index * 37) % 500)}\n`);
+	for (const line of sent) {
+		lines.write(line, true);
+	}
+
+	while (texts.join('').length < sent.join('').length) {
+		await soon(); // eslint-disable-line no-await-in-loop
+	}
+
+	t.is(texts.join(''), sent.join(''));
+	t.true(texts.every(text => text.length <= 4096 && text.endsWith('\n')));
+});
+
+test('lines that a busy reader did not take are written later', async t => {
+	const texts: string[] = [];
+	let isBusy = true;
+	const lines = createLineWriter({
+		gatherMs: 0,
+		write(text, done) {
+			if (isBusy) {
+				done(Object.assign(new Error('busy'), {code: 'EAGAIN'}));
+				return;
+			}
+
+			texts.push(text);
+			done(undefined);
+		},
+	});
+	lines.write('first\n', false);
+	await soon();
+	lines.write('second\n', true);
+	isBusy = false;
+	await soon();
+	t.is(texts.join(''), 'first\nsecond\n');
+});
+
 test('however lines come, no more than the bound is held', t => {
 	const check = () => {
 		fc.assert(fc.property(fc.array(fc.tuple(fc.integer({min: 1, max: 300}), fc.boolean()), {maxLength: 200}), list => {
