Read once more: one rule for going on elsewhere, no key of a prompt hashed twice

- onErrorAnswer repeated the check that mayGoOn makes; an answer of the target's own never comes after part of it was delivered, so the check is the same.
- The keys of a placed prompt were hashed again for the record; the candidate carries them now.
- The context of a choice, the same for all asks of a moment, held a givesWay that was replaced by a copy for each ask; it is an argument now.
- isResumed is always given, so it is a plain boolean; the end of a wait is a function of its own.
- The line writer summed sizes in two places; prompts of other VMs go through the scheduler's tell.

Behaviour is meant to be the same.

--- a/src/core/attempt/attempt.ts
+++ b/src/core/attempt/attempt.ts
@@ -147,6 +147,10 @@
 		: refuse(withoutGrant(unsentAgain, 'queued'), new RefusalError(TargetUnavailable, {tries: state.retries + 1}, {retryAfterMs: RETRY_AFTER_MS}), before);
 };
 
+/** Whether another target may do what is left of the request. */
+const mayGoOn = (state: AttemptState, spec: AttemptSpec, nowMs: number): boolean =>
+	spec.repeat === 'safe' && (!state.delivering || spec.isResumable === true) && hasTargetLeft(state, spec) && spec.takeRetry(nowMs);
+
 /** A failure that the target answered itself goes to the caller, unless another target may do better. */
 const onErrorAnswer = (state: AttemptState, message: Message<'error-answer'>, spec: AttemptSpec, nowMs: number): AttemptStep => {
 	if (state.kind !== 'sent') {
@@ -155,16 +159,11 @@
 
 	const {instance} = message;
 	const before = endGrant(state, nowMs, {kind: 'failed', cost: 0, ...(instance && {instance})});
-	const mayRepeat = spec.repeat === 'safe' && !state.callerLeft && hasTargetLeft(state, spec) && spec.takeRetry(nowMs);
-	return mayRepeat
+	return !state.callerLeft && mayGoOn(state, spec, nowMs)
 		? askAgain('error-answer', before)({...state, mayHaveRun: true, holdsError: true}, spec, nowMs)
 		: end(state, 'answered', [...before, ...(state.callerLeft ? [] : [{kind: 'deliver-error'} as const])]);
 };
 
-/** Whether another target may do what is left of the request. */
-const mayGoOn = (state: AttemptState, spec: AttemptSpec, nowMs: number): boolean =>
-	spec.repeat === 'safe' && (!state.delivering || spec.isResumable === true) && hasTargetLeft(state, spec) && spec.takeRetry(nowMs);
-
 /** Another target is tried while one is silent, if the request may be repeated; else there is nothing better than to wait. */
 const onSilent = (state: AttemptState, spec: AttemptSpec, nowMs: number): AttemptStep => {
 	const mayRepeat = state.kind === 'sent' && !state.callerLeft && mayGoOn(state, spec, nowMs);
--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -43,7 +43,7 @@
 	/** Targets that this request was sent to before. */
 	readonly tried: readonly string[];
 	/** Whether the caller has part of the answer and waits for its next event. */
-	readonly isResumed?: boolean;
+	readonly isResumed: boolean;
 };
 
 /** What an answer says of its target's load. */
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -9,9 +9,7 @@
 import {type FleetLoads, type TargetLoad, type TeamLoad} from './fleet-loads.js';
 import {type PlacementEffect, type PlacementMessage} from './messages.js';
 import {PlacedTarget} from './placed-target.js';
-import {
-	createPromptRecord, sharedKeys, type PromptRecord, type SentPrompt,
-} from './prompt-record.js';
+import {createPromptRecord, type PromptRecord, type SentPrompt} from './prompt-record.js';
 import {createReadRate, type ReadRate} from './read-rate.js';
 import {
 	chooseTarget, hasTargetLeft, type Candidate, type ChoiceContext,
@@ -53,6 +51,10 @@
 /** Cost of a request for its team's share: a token read counts once, a token generated twice. */
 const costOf = ({prompt}: PlacedAsk): number => prompt ? prompt.tokens + (2 * prompt.outputTokens) : 1;
 
+/** Reading of the clock at which a request that still waits is refused. */
+const waitEndMs = ({deadlineMs, arrivedMs, targetLatencyMs, isResumed}: PlacedAsk): number =>
+	Math.min(deadlineMs, arrivedMs + (targetLatencyMs * (isResumed ? RESUME_WAIT_SHARE : WAIT_SHARE)));
+
 export class ServicePlacement {
 	#service: RoutedService;
 	readonly #options: ServicePlacementOptions;
@@ -93,7 +95,7 @@
 		const sums = this.#shares.own(nowMs);
 		const teams = new Set([...sums.keys(), ...this.#queues.teams()]);
 		return [...teams].map(team => ({
-			service: this.#service.name, team, use: sums.get(team)?.use ?? 0, asked: sums.get(team)?.asked ?? 0, waits: this.#hasWaited(team, nowMs),
+			service: this.#service.name, team, ...(sums.get(team) ?? {use: 0, asked: 0}), waits: this.#hasWaited(team, nowMs),
 		}));
 	}
 
@@ -193,7 +195,7 @@
 		}
 
 		if (this.#queues.isEmpty && this.#shares.useOf(ask.team, nowMs) <= this.#shares.useCeiling(nowMs)) {
-			const candidate = chooseTarget(ask, {...ctx, givesWay: this.#shares.isBeyondShare(ask.team, nowMs)});
+			const candidate = chooseTarget(ask, this.#shares.isBeyondShare(ask.team, nowMs), ctx);
 			if (candidate) {
 				return [this.#grant(ask, candidate, nowMs)];
 			}
@@ -283,7 +285,6 @@
 			hearsFleet: fleet.heard + 1 >= vms().length,
 			tokensPerMs: this.#readRate.tokensPerMs(),
 			averageNewTokens: this.#averageNewTokens,
-			givesWay: false,
 			hasColdRoom: target => this.#service.coldPerS === 0 || !target.isCold(nowMs) || target.hasColdRoom(this.#coldLimit(target.record.id), nowMs),
 			nowMs,
 		};
@@ -313,10 +314,10 @@
 		return effects;
 	}
 
-	#firstStart(team: string, context: ChoiceContext): {readonly ask: PlacedAsk; readonly candidate: Candidate} | undefined {
-		const ctx = {...context, givesWay: this.#shares.isBeyondShare(team, context.nowMs)};
+	#firstStart(team: string, ctx: ChoiceContext): {readonly ask: PlacedAsk; readonly candidate: Candidate} | undefined {
+		const givesWay = this.#shares.isBeyondShare(team, ctx.nowMs);
 		for (const ask of this.#queues.of(team).slice(0, LOOK_AHEAD)) {
-			const candidate = chooseTarget(ask, ctx);
+			const candidate = chooseTarget(ask, givesWay, ctx);
 			if (candidate) {
 				return {ask, candidate};
 			}
@@ -330,14 +331,14 @@
 		return this.#queues.of(team).some(ask => nowMs - ask.arrivedMs > WAITS_AFTER_MS);
 	}
 
-	#grant(ask: PlacedAsk, {target, newTokens, reason}: Candidate, nowMs: number): PlacementEffect {
+	#grant(ask: PlacedAsk, {target, keys, newTokens, reason}: Candidate, nowMs: number): PlacementEffect {
 		const grantId = this.#options.createGrantId();
 		const {prompt} = ask;
 		target.place(grantId, {
 			newTokens, heldTokens: prompt ? prompt.tokens + prompt.outputTokens : 0, isReading: prompt !== undefined, sentMs: nowMs,
 		}, nowMs);
 		if (prompt) {
-			const sent = {target: target.record.id, keys: sharedKeys(prompt), newTokens: newTokens + prompt.outputTokens};
+			const sent = {target: target.record.id, keys, newTokens: newTokens + prompt.outputTokens};
 			this.#prompts.noteSent(sent, nowMs);
 			this.#sent.push(sent);
 			this.#averageNewTokens += (newTokens - this.#averageNewTokens) * AVERAGE_WEIGHT;
@@ -350,7 +351,7 @@
 	}
 
 	#expire(nowMs: number): readonly PlacementEffect[] {
-		const late = this.#queues.remove(ask => nowMs >= Math.min(ask.deadlineMs, ask.arrivedMs + (ask.targetLatencyMs * (ask.isResumed === true ? RESUME_WAIT_SHARE : WAIT_SHARE))));
+		const late = this.#queues.remove(ask => nowMs >= waitEndMs(ask));
 		return late.map(ask => ({
 			kind: 'reject', ask, reason: 'too-late', retryAfterMs: this.#retryAfterMs(), givesWay: this.#shares.isBeyondShare(ask.team, nowMs),
 		}));
--- a/src/core/placement/start-limits.ts
+++ b/src/core/placement/start-limits.ts
@@ -29,7 +29,7 @@
 const PLAIN_PER_SLOT = 2;
 
 /** What has begun does not give way: its caller waits in mid-answer. */
-const limitsOf = ({isResumed}: PlacedAsk, givesWay: boolean): StartLimits => givesWay && isResumed !== true ? YIELDING : ORDINARY;
+const limitsOf = ({isResumed}: PlacedAsk, givesWay: boolean): StartLimits => givesWay && !isResumed ? YIELDING : ORDINARY;
 
 /** A target with the requests that other VMs have there. */
 export type Occupied = {
@@ -71,7 +71,7 @@
  */
 export const startsInTime = (ask: PlacedAsk, {waitedMs, predictedMs, ownMs}: StartPrediction, givesWay: boolean): boolean => {
 	const {startShare} = limitsOf(ask, givesWay);
-	const countedWaitMs = ask.isResumed === true || givesWay ? 0 : waitedMs;
+	const countedWaitMs = ask.isResumed || givesWay ? 0 : waitedMs;
 	return countedWaitMs + predictedMs <= ask.targetLatencyMs * startShare
 		|| predictedMs - ownMs <= Math.min(ask.targetLatencyMs * LARGE_BACKLOG_SHARE, ownMs);
 };
--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -27,6 +27,8 @@
 
 export type Candidate = {
 	readonly target: PlacedTarget;
+	/** The prompt's `sharedKeys`. */
+	readonly keys: readonly number[];
 	/** Prompt tokens that the target has to read. */
 	readonly newTokens: number;
 	readonly reason: PlacementReason;
@@ -44,8 +46,6 @@
 	readonly tokensPerMs: number;
 	/** Tokens that a request has to read, on average. */
 	readonly averageNewTokens: number;
-	/** Whether the request gives way to others: its team received its share. */
-	readonly givesWay: boolean;
 	/** Whether a cold target may get one more request. */
 	readonly hasColdRoom: (target: PlacedTarget) => boolean;
 };
@@ -76,11 +76,12 @@
 	readonly sharedTokens: number;
 	readonly keeper: Keeper | undefined;
 	readonly others: Load;
+	readonly givesWay: boolean;
 };
 
-const candidateAt = (target: PlacedTarget, {ask, keys, sharedTokens, keeper, others}: Consideration, ctx: ChoiceContext): Candidate => {
+const candidateAt = (target: PlacedTarget, {ask, keys, sharedTokens, keeper, others, givesWay}: Consideration, ctx: ChoiceContext): Candidate => {
 	const {prompt} = ask;
-	const {service, prompts, tokensPerMs, dataCentre, givesWay, nowMs} = ctx;
+	const {service, prompts, tokensPerMs, dataCentre, nowMs} = ctx;
 	const own = prompt ? prompts.keptTokens(target.record.id, prompt, keys, nowMs) : 0;
 	const isAway = keeper !== undefined && keeper.target !== target;
 	const source = service.engine?.canCopyPrompts === true && keeper && keeper.copyableTokens >= own + MIN_COPY_TOKENS ? keeper.source : undefined;
@@ -90,6 +91,7 @@
 	const predictedMs = (target.readingTokens + others.readingTokens + newTokens) / tokensPerMs;
 	return {
 		target,
+		keys,
 		newTokens,
 		price: predictedMs
 			+ ((target.running + others.running) * (RUNNING_PRICE_MS + ((prompt?.outputTokens ?? 0) * RUNNING_PRICE_MS_PER_TOKEN)))
@@ -125,23 +127,27 @@
 /** Whether any target is left for the request, now or later. */
 export const hasTargetLeft = (ask: PlacedAsk, ctx: ChoiceContext): boolean => untried(ask, ctx).length > 0;
 
-/** The best target that can start the request now. */
-export const chooseTarget = (ask: PlacedAsk, ctx: ChoiceContext): Candidate | undefined => {
+/**
+ * The best target that can start the request now.
+ *
+ * @param givesWay - Whether the request gives way to others: its team received its share.
+ */
+export const chooseTarget = (ask: PlacedAsk, givesWay: boolean, ctx: ChoiceContext): Candidate | undefined => {
 	const keys = ask.prompt ? sharedKeys(ask.prompt) : [];
 	const keeper = ask.prompt && keeperOf(ask.prompt, keys, ctx);
 	const sharedTokens = ask.prompt?.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0) ?? 0;
 	let best: Candidate | undefined;
 	for (const target of untried(ask, ctx)) {
 		const others = othersAt(target, ctx);
-		if (!hasRoom(ask, {target, others}, ctx) || !ctx.hasColdRoom(target)) {
+		if (!hasRoom(ask, {target, others}, {service: ctx.service, givesWay}) || !ctx.hasColdRoom(target)) {
 			continue;
 		}
 
 		const candidate = candidateAt(target, {
-			ask, keys, sharedTokens, keeper, others,
+			ask, keys, sharedTokens, keeper, others, givesWay,
 		}, ctx);
 		const prediction = {...candidate.reason, ownMs: candidate.newTokens / ctx.tokensPerMs};
-		if (startsInTime(ask, prediction, ctx.givesWay) && (!best || candidate.price < best.price)) {
+		if (startsInTime(ask, prediction, givesWay) && (!best || candidate.price < best.price)) {
 			best = candidate;
 		}
 	}
--- a/src/runtime/observe/line-writer.ts
+++ b/src/runtime/observe/line-writer.ts
@@ -33,6 +33,9 @@
 type Line = {readonly text: string; readonly isRoutine: boolean};
 type Dropped = {routine: number; other: number};
 
+const textOf = (lines: readonly Line[]): string => lines.map(({text}) => text).join('');
+const sizeOf = (lines: readonly Line[]): number => lines.reduce((sum, {text}) => sum + text.length, 0);
+
 /** A reader that is slow, not gone. */
 const isBusy = (err: NodeJS.ErrnoException): boolean => err.code === 'EAGAIN';
 
@@ -88,17 +91,15 @@
 
 		const taken = held.slice(0, count);
 		held = held.slice(count);
-		heldBytes -= taken.reduce((sum, {text}) => sum + text.length, 0);
+		heldBytes -= sizeOf(taken);
 		return taken;
 	};
 
 	const giveBack = (lines: readonly Line[]): void => {
 		held = [...lines, ...held];
-		heldBytes += lines.reduce((sum, {text}) => sum + text.length, 0);
+		heldBytes += sizeOf(lines);
 	};
 
-	const textOf = (lines: readonly Line[]): string => lines.map(({text}) => text).join('');
-
 	const flush = (): void => {
 		timer = undefined;
 		if (isWriting) {
@@ -135,15 +136,15 @@
 	};
 
 	return {
-		write(line, isRoutine) {
+		write(text, isRoutine) {
 			const limit = isRoutine ? maxHeldBytes * ROUTINE_SHARE : maxHeldBytes;
-			if (heldBytes + line.length > limit) {
-				noteDropped({text: line, isRoutine});
+			if (heldBytes + text.length > limit) {
+				noteDropped({text, isRoutine});
 				return;
 			}
 
-			held.push({text: line, isRoutine});
-			heldBytes += line.length;
+			held.push({text, isRoutine});
+			heldBytes += text.length;
 			arm();
 		},
 		takeHeld: () => textOf(takeLines(Infinity)),
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -171,7 +171,9 @@
 
 	return {
 		ask: wish => ask(wish.service, {
-			...wish, ...(wish.placement ?? {targetLatencyMs: DEFAULT_LATENCY_MS, arrivedMs: clock.nowMs(), tried: []}),
+			...wish, ...(wish.placement ?? {
+				targetLatencyMs: DEFAULT_LATENCY_MS, arrivedMs: clock.nowMs(), tried: [], isResumed: false,
+			}),
 		}),
 		isValid({target: id, expiresAtMs}) {
 			const target = view.targets().get(id);
@@ -237,7 +239,7 @@
 			for (const sent of prompts) {
 				const service = view.targets().get(sent.target)?.service;
 				if (service !== undefined) {
-					placements.get(service)?.handle({kind: 'sent-elsewhere', sent}, clock.nowMs());
+					tell(service, {kind: 'sent-elsewhere', sent});
 				}
 			}
 		},
--- a/test/placement/_service.ts
+++ b/test/placement/_service.ts
@@ -30,7 +30,7 @@
 export const ask = (team: string, arrivedMs: number, changes: Partial<AskPlacement> = {}): PlacedAsk => {
 	requests++;
 	return {
-		requestId: `r${requests}`, team, service: 'tariff', estimatedCost: 1, deadlineMs: arrivedMs + 10_000, arrivedMs, targetLatencyMs: 1000, tried: [], ...changes,
+		requestId: `r${requests}`, team, service: 'tariff', estimatedCost: 1, deadlineMs: arrivedMs + 10_000, arrivedMs, targetLatencyMs: 1000, tried: [], isResumed: false, ...changes,
 	};
 };
 
