Tell why no target took a request, and how far a VM is behind its work

Callers of a large fleet were refused or served late, and the logs could not say whether targets were closed to a VM (cold, doubtful, full) or whether the VM itself was behind. No decision changes.

--- a/src/core/placement/messages.ts
+++ b/src/core/placement/messages.ts
@@ -2,6 +2,7 @@
 import {type GrantResult, type Observation} from '../dispatch/types.js';
 import {type RoutedService, type TargetRecord} from '../routing/types.js';
 import {type SentPrompt} from './prompt-record.js';
+import {type Closed} from './target-choice.js';
 import {type PlacedAsk} from './types.js';
 
 export type PlacementMessage =
@@ -21,7 +22,7 @@
 
 export type PlacementEffect =
 	| {readonly kind: 'grant'; readonly ask: PlacedAsk; readonly grantId: string; readonly target: TargetRecord; readonly because: PlacementReason}
-	| {readonly kind: 'reject'; readonly ask: PlacedAsk; readonly reason: 'no-target' | 'too-late'; readonly retryAfterMs: number; readonly givesWay: boolean};
+	| {readonly kind: 'reject'; readonly ask: PlacedAsk; readonly reason: 'no-target' | 'too-late'; readonly retryAfterMs: number; readonly givesWay: boolean; readonly closed?: Closed};
 
 /** The inputs that decided a placement, for the log. */
 export type PlacementReason = {
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -12,7 +12,7 @@
 import {createPromptRecord, type PromptRecord, type SentPrompt} from './prompt-record.js';
 import {createReadRate, type ReadRate} from './read-rate.js';
 import {
-	chooseTarget, hasTargetLeft, type Candidate, type ChoiceContext,
+	chooseTarget, hasTargetLeft, whyClosed, type Candidate, type ChoiceContext,
 } from './target-choice.js';
 import {TeamQueues} from './team-queues.js';
 import {TeamShares} from './team-shares.js';
@@ -352,9 +352,17 @@
 
 	#expire(nowMs: number): readonly PlacementEffect[] {
 		const late = this.#queues.remove(ask => nowMs >= waitEndMs(ask));
-		return late.map(ask => ({
-			kind: 'reject', ask, reason: 'too-late', retryAfterMs: this.#retryAfterMs(), givesWay: this.#shares.isBeyondShare(ask.team, nowMs),
-		}));
+		if (late.length === 0) {
+			return [];
+		}
+
+		const ctx = this.#context(nowMs);
+		return late.map(ask => {
+			const givesWay = this.#shares.isBeyondShare(ask.team, nowMs);
+			return {
+				kind: 'reject', ask, reason: 'too-late', retryAfterMs: this.#retryAfterMs(), givesWay, closed: whyClosed(ask, givesWay, ctx),
+			};
+		});
 	}
 
 	/** Time until what is being read now has been read, on average over the targets. */
--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -124,6 +124,36 @@
 	return left.filter(target => !passedOver.has(target));
 };
 
+/** Why targets did not take a request: how many of them for each reason. */
+export type Closed = {
+	readonly targets: number;
+	/** Failed lately, or tried before. */
+	readonly passedOver: number;
+	/** Cold or doubtful, and this VM has sent its share. */
+	readonly cold: number;
+	/** Of them doubtful: connections broke, and no answer has come since. */
+	readonly doubtful: number;
+	/** No slot or memory. */
+	readonly full: number;
+	/** Would start the request too late. */
+	readonly late: number;
+};
+
+/** Looks why no target takes a request, for the log. */
+export const whyClosed = (ask: PlacedAsk, givesWay: boolean, ctx: ChoiceContext): Closed => {
+	const left = untried(ask, ctx);
+	const withColdRoom = left.filter(target => ctx.hasColdRoom(target));
+	const withRoom = withColdRoom.filter(target => hasRoom(ask, {target, others: othersAt(target, ctx)}, {service: ctx.service, givesWay}));
+	return {
+		targets: ctx.targets.length,
+		passedOver: ctx.targets.length - left.length,
+		cold: left.length - withColdRoom.length,
+		doubtful: left.filter(target => target.isDoubtful && !ctx.hasColdRoom(target)).length,
+		full: withColdRoom.length - withRoom.length,
+		late: withRoom.length,
+	};
+};
+
 /** Whether any target is left for the request, now or later. */
 export const hasTargetLeft = (ask: PlacedAsk, ctx: ChoiceContext): boolean => untried(ask, ctx).length > 0;
 
--- a/src/runtime/observe/metrics.ts
+++ b/src/runtime/observe/metrics.ts
@@ -53,6 +53,9 @@
 			name: 'jackdawwood_store_call_seconds', help: 'Calls to the store, with the time that they wait for changes.', labelNames: ['call', 'result'] as const,
 			buckets: DURATION_BUCKETS_S, registers,
 		}),
+		loopDelay: new Histogram({
+			name: 'jackdawwood_loop_delay_seconds', help: 'How late a timer of the process fires: how far it is behind its work.', buckets: DURATION_BUCKETS_S, registers,
+		}),
 		claimTime: new Histogram({
 			name: 'jackdawwood_claim_seconds', help: 'From the wish to claim a key to the result.', buckets: DURATION_BUCKETS_S, registers,
 		}),
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -73,6 +73,12 @@
 					service,
 					reason: effect.reason,
 					gives_way: effect.givesWay,
+					targets: effect.closed?.targets,
+					passed_over: effect.closed?.passedOver,
+					closed_cold: effect.closed?.cold,
+					closed_doubtful: effect.closed?.doubtful,
+					full: effect.closed?.full,
+					late: effect.closed?.late,
 					retry_after_ms: Math.round(effect.retryAfterMs),
 					waited_ms: Math.round(clock.nowMs() - effect.ask.arrivedMs),
 				});
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -13,6 +13,7 @@
 import {createTargetPools} from '../entry/target-pools.js';
 import {type EntryLimits} from '../entry/types.js';
 import {type Log} from '../observe/log.js';
+import {startLoopDelay} from '../observe/loop-delay.js';
 import {type Metrics} from '../observe/metrics.js';
 import {FleetLoads} from '../../core/placement/fleet-loads.js';
 import {createFleetView} from './fleet-view.js';
@@ -107,6 +108,9 @@
 	const scheduler = createPlacementScheduler({
 		vm, dataCentre, bounds, clock, view, vms, log, loads,
 	});
+	const loopDelay = startLoopDelay({
+		clock, log, metrics, heard: () => loads.heard,
+	});
 	const exchange = await startLoadExchange({
 		vm, incarnation, listen: options.exchange, clock, log, loads,
 		peers: options.peers, targets: scheduler.targetLoads, teams: scheduler.teamLoads,
@@ -179,6 +183,7 @@
 		log.info('stopped');
 		await source.stop();
 		scheduler.stop();
+		loopDelay.stop();
 		exchange.close();
 		await pools.close();
 		for (const status of statusServers) {
