--- a/test/placement/service-placement.test.ts
+++ b/test/placement/service-placement.test.ts
@@ -207,3 +207,15 @@
 	t.is(placement.waiting, 1);
 	t.deepEqual(targetsOf(placement.handle({kind: 'tick'}, 2000)), ['too-late']);
 });
+
+test('a doubt about a target does not close it for good to a VM that sends nothing to cold ones', t => {
+	const vms = Array.from({length: 86}, (_, index) => `vm-${index}`);
+	const served = vms.filter(vm => {
+		const placement = withTargets(createPlacement({vm, vms}), ['t1']);
+		placement.handle({kind: 'unreachable', target: 't1'}, 0);
+		// The entry still names the same process long after one that crashed would have lost it.
+		placement.handle({kind: 'target', target: target('t1', {sequence: 9})}, 8000);
+		return placement.handle({kind: 'ask', ask: ask('team', 8001)}, 8001).some(({kind}) => kind === 'grant');
+	});
+	t.is(served.length, vms.length);
+});
--- /dev/null
+++ b/test/platform/overload.test.ts
@@ -0,0 +1,65 @@
+import {once} from 'node:events';
+import {connect, type Socket} from 'node:net';
+import {setImmediate as turn, setTimeout as delay} from 'node:timers/promises';
+import test from 'ava';
+import {
+	HOST, KEY, startPlatform, until,
+} from './_platform.js';
+
+/** Keeps the process busy without a pause. */
+const standStill = (ms: number): void => {
+	const endMs = performance.now() + ms;
+	while (performance.now() < endMs) {
+		// Stands still.
+	}
+};
+
+const requestText = (id: string): string =>
+	`GET /look/a HTTP/1.1\r\nHost: ${HOST}\r\nX-Attempt-Id: ${id}\r\nX-Api-Key: ${KEY}\r\nX-Deadline-Ms: 4000\r\n\r\n`;
+
+const openCaller = async (address: string): Promise<Socket> => {
+	const caller = connect(Number(address.split(':')[1]), '127.0.0.1');
+	await once(caller, 'connect');
+	return caller;
+};
+
+test('a request whose caller left while the process stood still is not sent on', async t => {
+	const {address, ledgers, call} = await startPlatform(t);
+	// Opens a connection to each target, so that a request can go out at once.
+	await Promise.all(Array.from({length: 8}, async () => call('/look/warm')));
+	const arrived = () => ledgers.reduce((sum, target) => sum + target.arrivals().length, 0);
+	const before = arrived();
+	const callers = await Promise.all(Array.from({length: 5}, async () => openCaller(address)));
+	await delay(50);
+	for (const [index, caller] of callers.entries()) {
+		caller.end(requestText(`left-${index}`));
+	}
+
+	standStill(400);
+	await delay(300);
+	t.is(arrived(), before);
+	for (const caller of callers) {
+		caller.destroy();
+	}
+});
+
+test('a VM that gets more than it can do sends callers to other VMs at once', async t => {
+	const {call} = await startPlatform(t);
+	for (let round = 0; round < 20; round++) {
+		standStill(150);
+		await turn(); // eslint-disable-line no-await-in-loop
+	}
+
+	const answers = await Promise.all(Array.from({length: 40}, async () => call('/look/a')));
+	const refused = answers.filter(({status}) => status === 503);
+	t.true(refused.length >= 20, `${refused.length} of 40 refused`);
+	for (const {headers} of refused) {
+		const seconds = Number(headers['retry-after']);
+		t.true(seconds > 0 && seconds <= 0.5, 'another VM can serve it soon');
+	}
+
+	await until(t, async () => (await call('/look/a')).status === 200, 'served again');
+	await delay(3000);
+	const later = await Promise.all(Array.from({length: 20}, async () => call('/look/a')));
+	t.deepEqual(later.filter(({status}) => status !== 200), [], 'nothing is refused once it keeps up');
+});
