End a doubt about a target when its entry shows that nothing was replaced

After trouble callers were refused as too late although targets were well. Cause: a target whose connections broke counts as cold until it has answered this VM, and in a fleet of more VMs than a cold target bears only the first 20 by a hash may ask it.

The doubt now also ends when the target's entry still names the same process after it would have lapsed (three heartbeats) or been replaced, and the store was heard since. The bound on cold targets holds as before: until then only the same VMs may send.

--- a/src/core/placement/messages.ts
+++ b/src/core/placement/messages.ts
@@ -10,6 +10,8 @@
 	| {readonly kind: 'target'; readonly target: TargetRecord}
 	| {readonly kind: 'target-gone'; readonly id: string}
 	| {readonly kind: 'data-centres-out'; readonly names: ReadonlySet<string>}
+	/** All entries of targets were read, or no change of them was found. */
+	| {readonly kind: 'targets-current'}
 	| {readonly kind: 'ask'; readonly ask: PlacedAsk}
 	| {readonly kind: 'withdraw'; readonly requestId: string}
 	| {readonly kind: 'end'; readonly grantId: string; readonly target: string; readonly result: GrantResult}
--- a/src/core/placement/placed-target.ts
+++ b/src/core/placement/placed-target.ts
@@ -15,6 +15,17 @@
 const MAX_PASS_OVER_MS = 2000;
 /** Milliseconds added to the time for which a target that answers again may be cold, for the way of its answer. */
 const DOUBT_MARGIN_MS = 500;
+/** Heartbeats after whose loss the entry of a target lapses. */
+const LAPSE_HEARTBEATS = 3;
+/** Milliseconds until the lapse of an entry shows here: the way of the heartbeats and the looks at entries. */
+const LAPSE_MARGIN_MS = 2000;
+
+/** How long a target that may have ended stays in doubt. */
+export type DoubtTimes = {
+	readonly coldStartMs: number;
+	/** Milliseconds between heartbeats of a target. */
+	readonly heartbeatMs: number;
+};
 
 /** A request that was sent and has not ended. */
 export type Placed = {
@@ -37,10 +48,11 @@
 	#heardMs: number;
 	/**
 	 * Present since all connections broke: the process may have been replaced by a cold
-	 * one. An entry is written again only when more than its sequence changes, so the
-	 * target's own answers have to show that it lives.
+	 * one. It ends when the target's own answers show that it lives, or when its entry still
+	 * names the same process after it would have lapsed or been replaced: a VM that may
+	 * send nothing to a cold target gets no answers to learn from.
 	 */
-	#doubt: {readonly answeredMs: number | undefined} | undefined;
+	#doubt: {readonly sinceMs: number; readonly answeredMs: number | undefined} | undefined;
 	#failuresInRow = 0;
 	#passOverUntilMs = -Infinity;
 	#load: (ReportedLoad & {readonly atMs: number; readonly own: number}) | undefined;
@@ -174,8 +186,16 @@
 	}
 
 	/** All connections broke, or none can be opened: the process may come back cold. */
-	noteUnreachable(): void {
-		this.#doubt = {answeredMs: undefined};
+	noteUnreachable(nowMs: number): void {
+		this.#doubt = {sinceMs: nowMs, answeredMs: undefined};
+	}
+
+	/** Its entry was read and names the same process as before. */
+	noteEntryRead({coldStartMs, heartbeatMs}: DoubtTimes, nowMs: number): void {
+		const lapsesMs = (heartbeatMs * LAPSE_HEARTBEATS) + LAPSE_MARGIN_MS;
+		if (this.#doubt && nowMs >= this.#doubt.sinceMs + Math.max(lapsesMs, coldStartMs + DOUBT_MARGIN_MS)) {
+			this.#doubt = undefined;
+		}
 	}
 
 	/**
@@ -184,7 +204,7 @@
 	 */
 	noteAlive(coldStartMs: number, nowMs: number): void {
 		if (this.#doubt?.answeredMs === undefined) {
-			this.#doubt &&= {answeredMs: nowMs};
+			this.#doubt &&= {...this.#doubt, answeredMs: nowMs};
 		} else if (nowMs >= this.#doubt.answeredMs + coldStartMs + DOUBT_MARGIN_MS) {
 			this.#doubt = undefined;
 		}
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -8,7 +8,7 @@
 import {type RoutedService, type TargetRecord} from '../routing/types.js';
 import {type FleetLoads, type TargetLoad, type TeamLoad} from './fleet-loads.js';
 import {type PlacementEffect, type PlacementMessage} from './messages.js';
-import {PlacedTarget} from './placed-target.js';
+import {PlacedTarget, type DoubtTimes} from './placed-target.js';
 import {createPromptRecord, type PromptRecord, type SentPrompt} from './prompt-record.js';
 import {createReadRate, type ReadRate} from './read-rate.js';
 import {
@@ -110,6 +110,10 @@
 		return [...this.#targets.values()];
 	}
 
+	get #doubtTimes(): DoubtTimes {
+		return {coldStartMs: this.#service.coldStartMs, heartbeatMs: this.#options.bounds.heartbeatMs};
+	}
+
 	/** Handles one message. Asks that have to wait start at a later `tick`. */
 	handle(message: PlacementMessage, nowMs: number): readonly PlacementEffect[] {
 		switch (message.kind) {
@@ -162,7 +166,15 @@
 			}
 
 			case 'unreachable': {
-				this.#targets.get(message.target)?.noteUnreachable();
+				this.#targets.get(message.target)?.noteUnreachable(nowMs);
+				return [];
+			}
+
+			case 'targets-current': {
+				for (const target of this.#targets.values()) {
+					target.noteEntryRead(this.#doubtTimes, nowMs);
+				}
+
 				return [];
 			}
 
@@ -178,6 +190,8 @@
 			this.#targets.set(record.id, new PlacedTarget(record, nowMs));
 		} else if (known.update(record, nowMs)) {
 			this.#prompts.forget(record.id);
+		} else {
+			known.noteEntryRead(this.#doubtTimes, nowMs);
 		}
 	}
 
--- a/src/core/placement/types.ts
+++ b/src/core/placement/types.ts
@@ -16,4 +16,6 @@
 	readonly retryWindowMs: number;
 	/** Repeats allowed in the window beyond the ratio. */
 	readonly retrySlack: number;
+	/** Milliseconds between heartbeats of a target. */
+	readonly heartbeatMs: number;
 };
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -100,6 +100,8 @@
 	| {readonly kind: 'all-targets'; readonly targets: readonly TargetRecord[]}
 	| {readonly kind: 'target'; readonly target: TargetRecord}
 	| {readonly kind: 'target-gone'; readonly id: string}
+	/** What was told of targets holds as of now. */
+	| {readonly kind: 'targets-current'}
 	/** Data centres that operators have taken out. */
 	| {readonly kind: 'data-centres-out'; readonly names: ReadonlySet<string>}
 	| {readonly kind: 'source-lost'}
--- a/src/runtime/routing/fleet-view.ts
+++ b/src/runtime/routing/fleet-view.ts
@@ -86,6 +86,10 @@
 					return onGone(news.id);
 				}
 
+				case 'targets-current': {
+					return [news];
+				}
+
 				case 'data-centres-out': {
 					log.info('data centres out', {names: [...news.names].join(',')});
 					out = news.names;
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -215,6 +215,7 @@
 				}
 
 				case 'target-gone':
+				case 'targets-current':
 				case 'data-centres-out': {
 					tellAll(news);
 					break;
--- a/test/placement/_service.ts
+++ b/test/placement/_service.ts
@@ -6,7 +6,7 @@
 import {type RoutedService, type TargetRecord} from '../../src/core/routing/types.js';
 
 export const bounds: FleetBounds = {
-	coldFactor: 1.5, coldSlack: 5, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 54,
+	coldFactor: 1.5, coldSlack: 5, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 54, heartbeatMs: 1200,
 };
 
 export const modelService: RoutedService = {
