--- a/test/platform/fleet-source.test.ts
+++ b/test/platform/fleet-source.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout as delay} from 'node:timers/promises';
 import test from 'ava';
 import {createFleetSource} from '../../platform/fleet-source.js';
 import {createStoreClient} from '../../platform/store-client.js';
@@ -34,3 +35,25 @@
 	await until(t, () => news.some(item => item.kind === 'target-gone' && item.id === 'comes'), 'told as gone');
 	t.false(news.some(item => item.kind === 'target-gone' && item.id === 'stays'));
 });
+
+test('a table that does not change takes no call before its wait is over', async t => {
+	const store = await startWorksStore();
+	const source = createFleetSource({
+		client: createStoreClient({address: store.address, clock: monotonicClock, metrics: createMetrics()}), vm: 'edge-1', exchange: '127.0.0.1:2', clock: monotonicClock, log: silentLog,
+	});
+	let isRead = false;
+	source.start(({kind}) => {
+		isRead ||= kind === 'all-targets';
+	});
+	t.teardown(async () => {
+		await source.stop();
+		await store.close();
+	});
+
+	await until(t, () => isRead, 'targets read');
+	// The first rounds of the VM's own row follow fast; the next one comes seconds later.
+	await delay(2400);
+	const before = store.calls();
+	await delay(2000);
+	t.true(store.calls() - before <= 2, `${store.calls() - before} calls in 2 s, of two tables with waits of 2.5 s`);
+});
