Count a VM as behind from 30 ms, and ask for no new callers while it is

Ruled out: reading and queueing, since requests on open connections were started in time.

New connections then reach other VMs. test/platform/overload.test.ts checks the readiness too.

--- a/src/core/admission/load-shed.ts
+++ b/src/core/admission/load-shed.ts
@@ -12,8 +12,6 @@
 /** Busy share of the processor above which a VM may be overloaded, and below which its load is over. */
 const HIGH_BUSY = 0.9;
 const OVER_BUSY = 0.5;
-/** Milliseconds by which requests wait to be read above which a VM is behind: a quarter of the shortest latency targets, about 300 ms. */
-const HIGH_DELAY_MS = 80;
 /** Looks in a row at which a VM must be behind before it refuses: a short stall is no overload. */
 const LOOKS_BEFORE = 4;
 /** Part of what is still taken that is given up at each look while the VM is behind. */
@@ -35,6 +33,9 @@
 	readonly delayMs: number;
 };
 
+/** Refused share above which the VM asks for no new callers; below, the refusals alone may do. */
+const OVERLOADED_SHARE = 0.15;
+
 export type LoadShed = {
 	/** Takes in a look at the process. */
 	readonly noteLook: (look: ProcessLook) => void;
@@ -42,10 +43,19 @@
 	readonly takes: (team: string, nowMs: number) => boolean;
 	/** Share of requests that is refused now. */
 	readonly share: () => number;
+	/** Whether new callers had better go to other VMs. */
+	readonly isOverloaded: () => boolean;
+};
+
+export type LoadShedOptions = {
+	/** Milliseconds by which timers come late above which the VM is behind. */
+	readonly behindMs: number;
+	/** Uniform in [0, 1). */
+	readonly random: () => number;
 };
 
-/** @param random - Uniform in [0, 1). */
-export const createLoadShed = (random: () => number): LoadShed => {
+/** A VM that keeps up. */
+export const createLoadShed = ({behindMs, random}: LoadShedOptions): LoadShed => {
 	const offered: TeamUse = createTeamUse();
 	let share = 0;
 	let delayMs = 0;
@@ -60,7 +70,7 @@
 	return {
 		noteLook({busyShare, delayMs: lastMs}) {
 			delayMs += (lastMs - delayMs) * DELAY_WEIGHT;
-			const isBehind = busyShare > HIGH_BUSY && delayMs > HIGH_DELAY_MS;
+			const isBehind = busyShare > HIGH_BUSY && delayMs > behindMs;
 			looksBehind = isBehind ? looksBehind + 1 : 0;
 			if (looksBehind >= LOOKS_BEFORE || (isBehind && share > 0)) {
 				share = Math.min(MAX_SHARE, share + ((1 - share) * GROW_PART));
@@ -74,5 +84,6 @@
 			return share === 0 || random() < takenPart(team, nowMs);
 		},
 		share: () => share,
+		isOverloaded: () => share > OVERLOADED_SHARE,
 	};
 };
--- a/src/runtime/routing/serve-request.ts
+++ b/src/runtime/routing/serve-request.ts
@@ -67,11 +67,13 @@
 	attempts.metrics.openRequests.inc();
 	try {
 		const routed = routeRequest(view, head, pathOf(req));
+		// The body first: a connection that is closed with unread bytes is reset, and the refusal lost.
+		const body = await readBody(req, attempts.limits);
 		if (!shed.takes(routed.team ?? '', arrivedMs)) {
+			res.setHeader('connection', 'close');
 			throw new RefusalError(VmOverloaded, {}, {retryAfterMs: OVERLOADED_RETRY_MS});
 		}
 
-		const body = await readBody(req, attempts.limits);
 		if (isBehind()) {
 			await nextReads();
 		}
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -12,7 +12,6 @@
 import {listen} from '../entry/listen.js';
 import {createServerStop} from '../entry/server-stop.js';
 import {createTargetPools} from '../entry/target-pools.js';
-import {type EntryLimits} from '../entry/types.js';
 import {type Log} from '../observe/log.js';
 import {startLoopDelay} from '../observe/loop-delay.js';
 import {type Metrics} from '../observe/metrics.js';
@@ -23,7 +22,7 @@
 import {createRelayCalls} from './relay-call.js';
 import {serveRequest, type ServeContext} from './serve-request.js';
 import {
-	type CallerWire, type FleetSource, type RoutingBounds, type TargetWire,
+	type CallerWire, type FleetSource, type RoutingBounds, type RoutingLimits, type TargetWire,
 } from './types.js';
 
 /** Milliseconds for which a leaving VM still takes new connections: the balancer needs two checks, a second apart, to notice. */
@@ -53,7 +52,7 @@
 	readonly callers: Address;
 	readonly ready: Address & {readonly path: string};
 	readonly metricsAddress: Address;
-	readonly limits: EntryLimits;
+	readonly limits: RoutingLimits;
 	readonly bounds: RoutingBounds;
 	readonly callerWire: CallerWire;
 	readonly targetWire: TargetWire;
@@ -109,7 +108,7 @@
 	const scheduler = createPlacementScheduler({
 		vm, dataCentre, bounds, clock, view, vms, log, loads,
 	});
-	const shed = createLoadShed(random);
+	const shed = createLoadShed({behindMs: limits.behindMs, random});
 	const loopDelay = startLoopDelay({
 		clock, log, metrics, heard: () => loads.heard,
 		onLook(look) {
@@ -160,7 +159,7 @@
 		void serveRequest(req, res, ctx);
 	});
 
-	const isReady = () => !isLeaving && view.isComplete();
+	const isReady = () => !isLeaving && view.isComplete() && !shed.isOverloaded();
 	const statusServers = await startStatus(options, {isReady, loads});
 	const address = await listen(server, options.callers);
 	log.info('started', {vm, data_centre: dataCentre, callers: address});
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -4,6 +4,7 @@
 import {type RefusalError} from '../../core/errors/refusal-error.js';
 import {type FleetBounds} from '../../core/placement/types.js';
 import {type FleetNews, type Route} from '../../core/routing/types.js';
+import {type EntryLimits} from '../entry/types.js';
 import {type Headers, type Job, type TargetRequest} from '../entry/job.js';
 
 /** A caller's request before its body has been read. */
@@ -71,3 +72,8 @@
 	/** Milliseconds from a stop signal within which the process must have ended. */
 	readonly graceMs: number;
 };
+
+export type RoutingLimits = EntryLimits & {
+	/** Milliseconds by which timers come late above which the VM is behind its work. */
+	readonly behindMs: number;
+};
--- a/test/admission/load-shed.test.ts
+++ b/test/admission/load-shed.test.ts
@@ -23,7 +23,7 @@
 	Array.from({length: count}, () => shed.takes(team, 0)).filter(Boolean).length;
 
 test('a short stall refuses nothing', t => {
-	const shed = createLoadShed(evenRandom());
+	const shed = createLoadShed({behindMs: 30, random: evenRandom()});
 	look(shed, 3, behind);
 	look(shed, 1, calm);
 	look(shed, 3, behind);
@@ -31,23 +31,25 @@
 });
 
 test('a processor that is busy and keeps up refuses nothing', t => {
-	const shed = createLoadShed(evenRandom());
+	const shed = createLoadShed({behindMs: 30, random: evenRandom()});
 	look(shed, 50, {busyShare: 1, delayMs: 20});
 	t.is(takenOf(shed, 'team', 50), 50);
 });
 
 test('a VM that stays behind takes a small part, and all again when it is no longer behind', t => {
-	const shed = createLoadShed(evenRandom());
+	const shed = createLoadShed({behindMs: 30, random: evenRandom()});
 	look(shed, 20, behind);
 	const taken = takenOf(shed, 'team', 200);
 	t.true(taken > 0 && taken < 30, `${taken} of 200`);
+	t.true(shed.isOverloaded());
 	look(shed, 12, calm);
 	t.is(shed.share(), 0);
+	t.false(shed.isOverloaded());
 	t.is(takenOf(shed, 'team', 50), 50);
 });
 
 test('a team that sends less than an even part is not refused for the flood of another', t => {
-	const shed = createLoadShed(evenRandom());
+	const shed = createLoadShed({behindMs: 30, random: evenRandom()});
 	look(shed, 7, behind);
 	let [small, large] = [0, 0];
 	for (let round = 0; round < 100; round++) {
--- a/test/platform/_platform.ts
+++ b/test/platform/_platform.ts
@@ -91,7 +91,10 @@
 	}
 };
 
-export const settingsText = ([callers, admin, control, metrics]: readonly string[], store: string) => `
+/** Delay of the event loop that no test reaches that is not about overload. */
+const UNHURRIED_MS = 10_000;
+
+export const settingsText = ([callers, admin, control, metrics]: readonly string[], store: string, behindMs = UNHURRIED_MS) => `
 [vm]
 id = "edge-1"
 data_centre = "dc-a"
@@ -102,6 +105,8 @@
 metrics = "${metrics ?? ''}"
 [platform]
 address = "${store}"
+[limits]
+behind_ms = ${behindMs}
 [log]
 level = "silent"
 [bounds]
@@ -114,7 +119,7 @@
 `;
 
 /** Starts everything and resolves when the router is ready. */
-export const startPlatform = async (t: ExecutionContext, log?: Log): Promise<Platform> => {
+export const startPlatform = async (t: ExecutionContext, log?: Log, behindMs?: number): Promise<Platform> => {
 	const store = await startWorksStore();
 	const [m1, m2, l1, l2] = await Promise.all([
 		startWorksTarget({id: 'm1', stream: true}),
@@ -144,7 +149,7 @@
 
 	const addresses = await freeAddresses(4);
 	const [address = '', ready = ''] = addresses;
-	const {settings, faults} = parseSettings(settingsText(addresses, store.address), 'test.toml');
+	const {settings, faults} = parseSettings(settingsText(addresses, store.address, behindMs), 'test.toml');
 	if (!settings) {
 		throw new Error(JSON.stringify(faults));
 	}
--- a/test/platform/overload.test.ts
+++ b/test/platform/overload.test.ts
@@ -2,6 +2,7 @@
 import {connect, type Socket} from 'node:net';
 import {setImmediate as turn, setTimeout as delay} from 'node:timers/promises';
 import test from 'ava';
+import {request} from 'undici';
 import {
 	HOST, KEY, startPlatform, until,
 } from './_platform.js';
@@ -14,6 +15,9 @@
 	}
 };
 
+/** Delay of the event loop from which the VM is behind. */
+const BEHIND_MS = 30;
+
 const requestText = (id: string): string =>
 	`GET /look/a HTTP/1.1\r\nHost: ${HOST}\r\nX-Attempt-Id: ${id}\r\nX-Api-Key: ${KEY}\r\nX-Deadline-Ms: 4000\r\n\r\n`;
 
@@ -44,12 +48,15 @@
 });
 
 test('a VM that gets more than it can do sends callers to other VMs at once', async t => {
-	const {call} = await startPlatform(t);
+	const {call, ready} = await startPlatform(t, undefined, BEHIND_MS);
 	for (let round = 0; round < 12; round++) {
 		standStill(400);
 		await turn(); // eslint-disable-line no-await-in-loop
 	}
 
+	const balancer = await request(`http://${ready}/v1/readyz`);
+	await balancer.body.dump();
+	t.is(balancer.statusCode, 503, 'new callers are asked to go elsewhere');
 	const answers = await Promise.all(Array.from({length: 40}, async () => call('/look/a')));
 	const refused = answers.filter(({status}) => status === 503);
 	t.true(refused.length >= 20, `${refused.length} of 40 refused`);
@@ -63,6 +70,9 @@
 		return status === 200;
 	}, 'served again');
 	await delay(3000);
+	const balancerLater = await request(`http://${ready}/v1/readyz`);
+	await balancerLater.body.dump();
+	t.is(balancerLater.statusCode, 200);
 	const later = await Promise.all(Array.from({length: 20}, async () => call('/look/a')));
 	t.deepEqual(later.filter(({status}) => status !== 200), [], 'nothing is refused once it keeps up');
 });
