Report to a sample of a large fleet, and compare few targets there

Cause: all VMs reported to all others, which grows with the square of the fleet; with more than 188 VMs a report lapsed before the next came. Beyond 16 VMs a report now goes to 8 VMs in turn every 400 ms, so 20 a second come and go at any size. What teams received is scaled from the reports at hand. Loads of targets are what the targets say in their answers, passed on with their age. A prompt's home is taken to keep it, and each request compares three homes and two targets at random: VMs that compare all by the same stale figures all choose the same target. Up to 16 VMs nothing changes but that sums are kept as reports come.

--- a/src/core/placement/fleet-loads.ts
+++ b/src/core/placement/fleet-loads.ts
@@ -1,10 +1,12 @@
-/** What the other VMs report of their requests, summed as reports come and lapse. */
-import {decayUse} from './team-use.js';
+/**
+ * What the other VMs report of their requests, summed as reports come and lapse. In a large
+ * fleet the reports at hand are a sample, and sums over them are scaled to the whole.
+ */
 
-/** Milliseconds for which a report counts; a few reports may be lost on the way. */
-const REPORT_VALID_MS = 1500;
-/** Milliseconds for which sums over all reports are used again; about as long as it takes until new reports come. */
-const TEAM_SUMS_VALID_MS = 50;
+/** Milliseconds for which a team counts as waiting at a VM that reported so. */
+const WAITS_VALID_MS = 1500;
+/** Milliseconds for which the waiting teams are used again; about as long as it takes until new reports come. */
+const WAITING_EVERY_MS = 50;
 
 /** A VM's requests at one target that have not ended. */
 export type TargetLoad = {
@@ -43,11 +45,18 @@
 export type Load = Omit<TargetLoad, 'target'>;
 
 const NOTHING: Load = {running: 0, readingTokens: 0, heldTokens: 0};
+const NO_SUM: TeamSum = {use: 0, asked: 0};
+
+const hasWaits = ({teams}: VmLoads): boolean => teams.some(({waits}) => waits);
 
 export class FleetLoads {
 	readonly #reports = new Map<string, Report>();
 	readonly #sums = new Map<string, Load>();
-	readonly #teamSums = new Map<string, {readonly sums: ReadonlyMap<string, TeamSum>; readonly atMs: number}>();
+	/** By service, then by team. */
+	readonly #teamSums = new Map<string, Map<string, TeamSum>>();
+	readonly #waiting = new Map<string, {readonly teams: ReadonlySet<string>; readonly atMs: number}>();
+	/** Other VMs for each one that is heard. */
+	#scale = 1;
 
 	/** Takes in a report; one that is older than the last is ignored. */
 	take(loads: VmLoads, nowMs: number): void {
@@ -58,18 +67,25 @@
 
 		this.#forget(loads.vm);
 		this.#reports.set(loads.vm, {loads, atMs: nowMs});
-		for (const load of loads.targets) {
-			this.#add(load, 1);
+		this.#add(loads, 1);
+		if (hasWaits(loads) || (known && hasWaits(known.loads))) {
+			this.#waiting.clear();
 		}
 	}
 
-	/** Drops reports that no longer count. */
-	expire(nowMs: number): void {
+	/**
+	 * Drops reports that no longer count.
+	 *
+	 * @param others - VMs besides this one, when reports of only a part of them are at hand.
+	 */
+	expire(nowMs: number, validMs: number, others?: number): void {
 		for (const [vm, {atMs}] of this.#reports) {
-			if (nowMs - atMs > REPORT_VALID_MS) {
+			if (nowMs - atMs > validMs) {
 				this.#forget(vm);
 			}
 		}
+
+		this.#scale = others === undefined || this.heard === 0 ? 1 : Math.max(1, others / this.heard);
 	}
 
 	/** VMs whose reports count. */
@@ -82,58 +98,60 @@
 		return this.#sums.get(target) ?? NOTHING;
 	}
 
-	/** What the teams asked for and received through the other VMs. */
-	teams(service: string, nowMs: number): ReadonlyMap<string, TeamSum> {
-		const known = this.#teamSums.get(service);
-		if (known && nowMs - known.atMs < TEAM_SUMS_VALID_MS) {
-			return known.sums;
-		}
-
-		const sums = new Map<string, TeamSum>();
-		for (const {loads, atMs} of this.#reports.values()) {
-			for (const load of loads.teams) {
-				if (load.service === service) {
-					const sum = sums.get(load.team);
-					sums.set(load.team, {
-						use: (sum?.use ?? 0) + decayUse(load.use, nowMs - atMs),
-						asked: (sum?.asked ?? 0) + decayUse(load.asked, nowMs - atMs),
-					});
-				}
-			}
-		}
+	/** What a team asked for and received through the other VMs. */
+	team(service: string, team: string): TeamSum {
+		const {use, asked} = this.#teamSums.get(service)?.get(team) ?? NO_SUM;
+		return {use: use * this.#scale, asked: asked * this.#scale};
+	}
 
-		this.#teamSums.set(service, {sums, atMs: nowMs});
-		return sums;
+	/** Teams of which the other VMs report. */
+	teamsOf(service: string): readonly string[] {
+		return [...this.#teamSums.get(service)?.keys() ?? []];
 	}
 
 	/** Teams whose requests wait at other VMs. */
-	waitingElsewhere(service: string): ReadonlySet<string> {
+	waitingElsewhere(service: string, nowMs: number): ReadonlySet<string> {
+		const known = this.#waiting.get(service);
+		if (known && nowMs - known.atMs < WAITING_EVERY_MS) {
+			return known.teams;
+		}
+
 		const teams = new Set<string>();
-		for (const {loads} of this.#reports.values()) {
+		for (const {loads, atMs} of this.#reports.values()) {
 			for (const load of loads.teams) {
-				if (load.waits && load.service === service) {
+				if (load.waits && load.service === service && nowMs - atMs <= WAITS_VALID_MS) {
 					teams.add(load.team);
 				}
 			}
 		}
 
+		this.#waiting.set(service, {teams, atMs: nowMs});
 		return teams;
 	}
 
 	#forget(vm: string): void {
 		const report = this.#reports.get(vm);
 		this.#reports.delete(vm);
-		for (const load of report?.loads.targets ?? []) {
-			this.#add(load, -1);
+		if (report) {
+			this.#add(report.loads, -1);
 		}
 	}
 
-	#add({target, running, readingTokens, heldTokens}: TargetLoad, sign: 1 | -1): void {
-		const sum = this.at(target);
-		this.#sums.set(target, {
-			running: sum.running + (sign * running),
-			readingTokens: sum.readingTokens + (sign * readingTokens),
-			heldTokens: sum.heldTokens + (sign * heldTokens),
-		});
+	#add({targets, teams}: VmLoads, sign: 1 | -1): void {
+		for (const {target, running, readingTokens, heldTokens} of targets) {
+			const sum = this.at(target);
+			this.#sums.set(target, {
+				running: sum.running + (sign * running),
+				readingTokens: sum.readingTokens + (sign * readingTokens),
+				heldTokens: sum.heldTokens + (sign * heldTokens),
+			});
+		}
+
+		for (const {service, team, use, asked} of teams) {
+			const sums = this.#teamSums.get(service) ?? new Map<string, TeamSum>();
+			this.#teamSums.set(service, sums);
+			const sum = sums.get(team) ?? NO_SUM;
+			sums.set(team, {use: sum.use + (sign * use), asked: sum.asked + (sign * asked)});
+		}
 	}
 }
--- a/src/core/placement/messages.ts
+++ b/src/core/placement/messages.ts
@@ -1,10 +1,17 @@
 /** Messages and effects of the placement of one service's requests. */
 import {type GrantResult, type Observation} from '../dispatch/types.js';
 import {type RoutedService, type TargetRecord} from '../routing/types.js';
+import {type LoadWord} from './placed-target.js';
 import {type SentPrompt} from './prompt-record.js';
 import {type Closed} from './target-choice.js';
 import {type PlacedAsk} from './types.js';
 
+/** What a target said of all its requests in an answer. */
+export type ObservedLoad = LoadWord & {
+	readonly target: string;
+	readonly ageMs: number;
+};
+
 export type PlacementMessage =
 	| {readonly kind: 'service'; readonly service: RoutedService}
 	| {readonly kind: 'target'; readonly target: TargetRecord}
@@ -18,6 +25,8 @@
 	| {readonly kind: 'observe'; readonly grantId: string; readonly target: string; readonly observation: Observation}
 	/** Another VM sent a prompt to a target. */
 	| {readonly kind: 'sent-elsewhere'; readonly sent: SentPrompt}
+	/** What targets said of their load to another VM. */
+	| {readonly kind: 'observed-elsewhere'; readonly loads: readonly ObservedLoad[]}
 	/** All connections to a target broke, or none could be opened. */
 	| {readonly kind: 'unreachable'; readonly target: string}
 	| {readonly kind: 'tick'};
--- a/src/core/placement/placed-target.ts
+++ b/src/core/placement/placed-target.ts
@@ -27,6 +27,9 @@
 	readonly heartbeatMs: number;
 };
 
+/** What a target says of all its requests. */
+export type LoadWord = Pick<ReportedLoad, 'running' | 'waiting'>;
+
 /** A request that was sent and has not ended. */
 export type Placed = {
 	/** Prompt tokens that the target has to read, as expected. */
@@ -55,7 +58,7 @@
 	#doubt: {readonly sinceMs: number; readonly answeredMs: number | undefined} | undefined;
 	#failuresInRow = 0;
 	#passOverUntilMs = -Infinity;
-	#load: (ReportedLoad & {readonly atMs: number; readonly own: number}) | undefined;
+	#load: (LoadWord & {readonly atMs: number; readonly own: number; readonly toThisVm: boolean}) | undefined;
 	#readingTokens = 0;
 	#heldTokens = 0;
 
@@ -172,8 +175,22 @@
 		}
 	}
 
-	noteLoad(load: ReportedLoad, nowMs: number): void {
-		this.#load = {...load, atMs: nowMs, own: this.running};
+	/**
+	 * Takes in what the target said of its load at a moment; the latest word counts.
+	 *
+	 * @param toThisVm - Whether it was said here, not to another VM.
+	 */
+	noteLoad(load: LoadWord, atMs: number, toThisVm = true): void {
+		if (!this.#load || atMs >= this.#load.atMs) {
+			this.#load = {
+				...load, atMs, own: this.running, toThisVm,
+			};
+		}
+	}
+
+	/** What it said of its load to this VM since `sinceMs`. */
+	loadSince(sinceMs: number): (LoadWord & {readonly atMs: number}) | undefined {
+		return this.#load?.toThisVm && this.#load.atMs > sinceMs ? this.#load : undefined;
 	}
 
 	noteAnswered(): void {
--- a/src/core/placement/prompt-keeper.ts
+++ b/src/core/placement/prompt-keeper.ts
@@ -4,6 +4,9 @@
 import {type PlacedTarget} from './placed-target.js';
 import {type PromptRecord} from './prompt-record.js';
 
+/** Targets that a prompt's shared parts may be sent to in turn while the first is busy. */
+const HOMES = 3;
+
 /** Where a prompt's shared parts are. */
 export type Keeper = {
 	/** The target that they belong to. */
@@ -19,41 +22,49 @@
 	/** Targets that are not cold, by which homes of prompts are chosen. */
 	readonly homes: readonly PlacedTarget[];
 	/** Homes of prompts by the last of their `sharedKeys`, as long as `homes` stays the same. */
-	readonly homeOfPrompt: Map<number, PlacedTarget>;
+	readonly homesOfPrompt: Map<number, readonly PlacedTarget[]>;
 	readonly prompts: PromptRecord;
 	readonly nowMs: number;
 };
 
-/** The home of a prompt's shared parts, which all VMs choose alike by a hash. */
-const homeOf = (key: number, {homes, homeOfPrompt}: KeeperContext): PlacedTarget | undefined => {
-	let home = homeOfPrompt.get(key);
-	if (!home) {
-		let highest = -1;
-		for (const target of homes) {
-			const weight = hash32(`${key}|${target.record.id}`);
-			if (weight > highest) {
-				highest = weight;
-				home = target;
-			}
-		}
+/** The homes of a prompt's shared parts, the first one first, which all VMs choose alike by a hash. */
+export const homesOf = (keys: readonly number[], {homes, homesOfPrompt}: KeeperContext): readonly PlacedTarget[] => {
+	const key = keys.at(-1);
+	if (key === undefined) {
+		return [];
+	}
 
-		if (home) {
-			homeOfPrompt.set(key, home);
-		}
+	const known = homesOfPrompt.get(key);
+	if (known) {
+		return known;
 	}
 
-	return home;
+	const ranked = homes
+		.map(target => ({target, weight: hash32(`${key}|${target.record.id}`)}))
+		.toSorted((a, b) => b.weight - a.weight)
+		.slice(0, HOMES)
+		.map(({target}) => target);
+	homesOfPrompt.set(key, ranked);
+	return ranked;
+};
+
+/**
+ * The first home of a prompt, taken to keep all its shared parts. Where each VM sees only
+ * a small part of the sends, its own record says less than that all send there first.
+ */
+export const assumedKeeper = (keys: readonly number[], sharedTokens: number, ctx: KeeperContext): Keeper | undefined => {
+	const [home] = homesOf(keys, ctx);
+	return home && {target: home, source: home, copyableTokens: sharedTokens};
 };
 
 /** The target that keeps most of a prompt, or its home while no target is known to keep more than another. */
 export const keeperOf = (prompt: Prompt, keys: readonly number[], ctx: KeeperContext): Keeper | undefined => {
-	const key = keys.at(-1);
-	if (key === undefined) {
+	if (keys.length === 0) {
 		return undefined;
 	}
 
 	const {prompts, targets, nowMs} = ctx;
-	const home = homeOf(key, ctx);
+	const [home] = homesOf(keys, ctx);
 	let keeper = home;
 	let mostKept = home ? prompts.keptTokens(home.record.id, prompt, keys, nowMs) : 0;
 	let source: PlacedTarget | undefined;
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -7,7 +7,8 @@
 import {hash32} from '../membership/rendezvous.js';
 import {type RoutedService, type TargetRecord} from '../routing/types.js';
 import {type FleetLoads, type TargetLoad, type TeamLoad} from './fleet-loads.js';
-import {type PlacementEffect, type PlacementMessage} from './messages.js';
+import {planExchange} from './exchange-plan.js';
+import {type ObservedLoad, type PlacementEffect, type PlacementMessage} from './messages.js';
 import {PlacedTarget, type DoubtTimes} from './placed-target.js';
 import {createPromptRecord, type PromptRecord, type SentPrompt} from './prompt-record.js';
 import {createReadRate, type ReadRate} from './read-rate.js';
@@ -44,6 +45,8 @@
 	readonly vms: () => readonly string[];
 	readonly dataCentre: string;
 	readonly createGrantId: () => string;
+	/** Uniform in [0, 1). */
+	readonly random: () => number;
 	/** What the other VMs report. */
 	readonly fleet: FleetLoads;
 };
@@ -65,10 +68,12 @@
 	readonly #readRate: ReadRate = createReadRate();
 	#out: ReadonlySet<string> = new Set();
 	#homes: readonly PlacedTarget[] = [];
-	#homeOfPrompt = new Map<number, PlacedTarget>();
+	#homesOfPrompt = new Map<number, readonly PlacedTarget[]>();
 	/** Prompts that were sent since the last report to the other VMs. */
 	#sent: SentPrompt[] = [];
 	#averageNewTokens = 0;
+	#averageHeldTokens = 0;
+	#observedToldMs = -Infinity;
 
 	constructor(options: ServicePlacementOptions) {
 		this.#options = options;
@@ -106,6 +111,20 @@
 		return sent;
 	}
 
+	/** What targets said of their load since the last call, for the report to the other VMs. */
+	takeObserved(nowMs: number): readonly ObservedLoad[] {
+		const sinceMs = this.#observedToldMs;
+		this.#observedToldMs = nowMs;
+		return this.targets().flatMap(target => {
+			const load = target.loadSince(sinceMs);
+			return load
+				? {
+					target: target.record.id, running: load.running, waiting: load.waiting, ageMs: nowMs - load.atMs,
+				}
+				: [];
+		});
+	}
+
 	targets(): readonly PlacedTarget[] {
 		return [...this.#targets.values()];
 	}
@@ -165,6 +184,14 @@
 				return [];
 			}
 
+			case 'observed-elsewhere': {
+				for (const {target, ageMs, ...load} of message.loads) {
+					this.#targets.get(target)?.noteLoad(load, nowMs - ageMs, false);
+				}
+
+				return [];
+			}
+
 			case 'unreachable': {
 				this.#targets.get(message.target)?.noteUnreachable(nowMs);
 				return [];
@@ -280,12 +307,14 @@
 	}
 
 	#context(nowMs: number): ChoiceContext {
-		const {dataCentre, fleet, vms} = this.#options;
+		const {dataCentre, fleet, vms, random} = this.#options;
+		const vmCount = vms().length;
+		const {isWhole} = planExchange(vmCount - 1);
 		const targets = this.targets().filter(({record, isMisdirected}) => !record.isDraining && !isMisdirected && !this.#out.has(record.dataCentre));
 		const homes = targets.filter(target => !target.isCold(nowMs));
 		if (homes.length !== this.#homes.length || homes.some((home, index) => home !== this.#homes[index])) {
 			this.#homes = homes;
-			this.#homeOfPrompt = new Map();
+			this.#homesOfPrompt = new Map();
 		}
 
 		return {
@@ -293,12 +322,15 @@
 			dataCentre,
 			targets,
 			homes,
-			homeOfPrompt: this.#homeOfPrompt,
+			homesOfPrompt: this.#homesOfPrompt,
 			prompts: this.#prompts,
 			fleet,
-			hearsFleet: fleet.heard + 1 >= vms().length,
+			hearsFleet: isWhole && fleet.heard + 1 >= vmCount,
+			isSampled: !isWhole,
+			random,
 			tokensPerMs: this.#readRate.tokensPerMs(),
 			averageNewTokens: this.#averageNewTokens,
+			averageHeldTokens: this.#averageHeldTokens,
 			hasColdRoom: target => this.#service.coldPerS === 0 || !target.isCold(nowMs) || target.hasColdRoom(this.#coldLimit(target.record.id), nowMs),
 			nowMs,
 		};
@@ -356,6 +388,7 @@
 			this.#prompts.noteSent(sent, nowMs);
 			this.#sent.push(sent);
 			this.#averageNewTokens += (newTokens - this.#averageNewTokens) * AVERAGE_WEIGHT;
+			this.#averageHeldTokens += (prompt.tokens + prompt.outputTokens - this.#averageHeldTokens) * AVERAGE_WEIGHT;
 		}
 
 		this.#shares.noteStarted(ask.team, costOf(ask), nowMs);
--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -3,7 +3,9 @@
 import {type FleetLoads, type Load} from './fleet-loads.js';
 import {type PlacementReason} from './messages.js';
 import {type PlacedTarget} from './placed-target.js';
-import {keeperOf, type Keeper, type KeeperContext} from './prompt-keeper.js';
+import {
+	assumedKeeper, homesOf, keeperOf, type Keeper, type KeeperContext,
+} from './prompt-keeper.js';
 import {sharedKeys} from './prompt-record.js';
 import {hasRoom, startsInTime} from './start-limits.js';
 import {type PlacedAsk} from './types.js';
@@ -22,6 +24,8 @@
 const MIN_COPY_TOKENS = 150;
 /** Milliseconds that a target costs, as a price, while it is not known to be alive. */
 const DOUBT_PRICE_MS = 300;
+/** Targets at random that are compared in a large fleet: the better of two keeps loads even without exact figures. */
+const RANDOM_TARGETS = 2;
 /** Largest part of the targets that is passed over after failures; more would crowd the rest. */
 const MAX_PASSED_OVER_SHARE = 0.34;
 
@@ -43,15 +47,20 @@
 	readonly fleet: FleetLoads;
 	/** Whether all other VMs' reports are at hand. */
 	readonly hearsFleet: boolean;
+	/** Whether the fleet is so large that reports are a sample. */
+	readonly isSampled: boolean;
+	/** Uniform in [0, 1). */
+	readonly random: () => number;
 	readonly tokensPerMs: number;
-	/** Tokens that a request has to read, on average. */
+	/** Tokens that a request has to read, and that it keeps in memory, on average. */
 	readonly averageNewTokens: number;
+	readonly averageHeldTokens: number;
 	/** Whether a cold target may get one more request. */
 	readonly hasColdRoom: (target: PlacedTarget) => boolean;
 };
 
 /** Other VMs' requests at a target: as they report, or as its answers tell while VMs are not heard. */
-const othersAt = (target: PlacedTarget, {fleet, hearsFleet, averageNewTokens, nowMs}: ChoiceContext): Load => {
+const othersAt = (target: PlacedTarget, {fleet, hearsFleet, averageNewTokens, averageHeldTokens, nowMs}: ChoiceContext): Load => {
 	const reported = fleet.at(target.record.id);
 	if (hearsFleet) {
 		return reported;
@@ -59,11 +68,10 @@
 
 	const running = Math.max(reported.running, target.othersRunning(nowMs));
 	const unheard = running - reported.running;
-	const heldEach = target.running > 0 ? target.heldTokens / target.running : 0;
 	return {
 		running,
 		readingTokens: reported.readingTokens + (Math.min(unheard, target.reportedWaiting(nowMs)) * averageNewTokens),
-		heldTokens: reported.heldTokens + (unheard * heldEach),
+		heldTokens: reported.heldTokens + (unheard * averageHeldTokens),
 	};
 };
 
@@ -82,8 +90,9 @@
 const candidateAt = (target: PlacedTarget, {ask, keys, sharedTokens, keeper, others, givesWay}: Consideration, ctx: ChoiceContext): Candidate => {
 	const {prompt} = ask;
 	const {service, prompts, tokensPerMs, dataCentre, nowMs} = ctx;
-	const own = prompt ? prompts.keptTokens(target.record.id, prompt, keys, nowMs) : 0;
 	const isAway = keeper !== undefined && keeper.target !== target;
+	const recorded = prompt ? prompts.keptTokens(target.record.id, prompt, keys, nowMs) : 0;
+	const own = ctx.isSampled && keeper?.target === target ? sharedTokens : recorded;
 	const source = service.engine?.canCopyPrompts === true && keeper && keeper.copyableTokens >= own + MIN_COPY_TOKENS ? keeper.source : undefined;
 	const lacking = sharedTokens - own;
 	const keptTokens = source && keeper ? keeper.copyableTokens : own;
@@ -157,6 +166,32 @@
 /** Whether any target is left for the request, now or later. */
 export const hasTargetLeft = (ask: PlacedAsk, ctx: ChoiceContext): boolean => untried(ask, ctx).length > 0;
 
+/** Targets at random, each at most once. */
+const randomOf = (targets: readonly PlacedTarget[], count: number, random: () => number): readonly PlacedTarget[] => {
+	if (targets.length <= count) {
+		return targets;
+	}
+
+	const first = Math.floor(random() * targets.length);
+	const second = (first + 1 + Math.floor(random() * (targets.length - 1))) % targets.length;
+	return [targets[first]!, targets[second]!];
+};
+
+/**
+ * Targets that are compared: all of them where loads are known exactly. Where they are
+ * not, VMs that compare all would send to the same one until they hear of it, so each
+ * compares the homes of the prompt and two others at random.
+ */
+const compared = (ask: PlacedAsk, keys: readonly number[], ctx: ChoiceContext): readonly PlacedTarget[] => {
+	const left = untried(ask, ctx);
+	if (!ctx.isSampled) {
+		return left;
+	}
+
+	const homes = homesOf(keys, ctx).filter(target => left.includes(target));
+	return [...homes, ...randomOf(left, RANDOM_TARGETS, ctx.random).filter(target => !homes.includes(target))];
+};
+
 /**
  * The best target that can start the request now.
  *
@@ -164,10 +199,10 @@
  */
 export const chooseTarget = (ask: PlacedAsk, givesWay: boolean, ctx: ChoiceContext): Candidate | undefined => {
 	const keys = ask.prompt ? sharedKeys(ask.prompt) : [];
-	const keeper = ask.prompt && keeperOf(ask.prompt, keys, ctx);
 	const sharedTokens = ask.prompt?.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0) ?? 0;
+	const keeper = ctx.isSampled ? assumedKeeper(keys, sharedTokens, ctx) : ask.prompt && keeperOf(ask.prompt, keys, ctx);
 	let best: Candidate | undefined;
-	for (const target of untried(ask, ctx)) {
+	for (const target of compared(ask, keys, ctx)) {
 		const others = othersAt(target, ctx);
 		if (!hasRoom(ask, {target, others}, {service: ctx.service, givesWay}) || !ctx.hasColdRoom(target)) {
 			continue;
--- a/src/core/placement/team-shares.ts
+++ b/src/core/placement/team-shares.ts
@@ -55,13 +55,13 @@
 	/** What a team received through all VMs. */
 	useOf(team: string, nowMs: number): number {
 		const {service, fleet} = this.#options;
-		return this.#use.of(team, nowMs) + (fleet.teams(service, nowMs).get(team)?.use ?? 0);
+		return this.#use.of(team, nowMs) + fleet.team(service, team).use;
 	}
 
 	/** Use beyond which a team lets the teams go first that wait at other VMs. */
 	useCeiling(nowMs: number): number {
 		const {service, fleet} = this.#options;
-		const uses = [...fleet.waitingElsewhere(service)].map(team => this.useOf(team, nowMs));
+		const uses = [...fleet.waitingElsewhere(service, nowMs)].map(team => this.useOf(team, nowMs));
 		return uses.length === 0 ? Infinity : (Math.min(...uses) * LEAD_FACTOR) + (this.#averageCost * LEAD_REQUESTS);
 	}
 
@@ -81,7 +81,7 @@
 			return Infinity;
 		}
 
-		const asked = new Map([...fleet.teams(service, nowMs)].map(([team, sum]) => [team, sum.asked]));
+		const asked = new Map(fleet.teamsOf(service).map(team => [team, fleet.team(service, team).asked]));
 		for (const [team, sum] of this.own(nowMs)) {
 			asked.set(team, (asked.get(team) ?? 0) + sum.asked);
 		}
--- a/src/runtime/routing/load-exchange.ts
+++ b/src/runtime/routing/load-exchange.ts
@@ -7,16 +7,14 @@
 import {once} from 'node:events';
 import {create, fromBinary, toBinary} from '@bufbuild/protobuf';
 import {type Clock} from '../../core/clock.js';
+import {peersOfRound, planExchange} from '../../core/placement/exchange-plan.js';
 import {type FleetLoads, type TargetLoad, type TeamLoad} from '../../core/placement/fleet-loads.js';
+import {type ObservedLoad} from '../../core/placement/messages.js';
 import {type SentPrompt} from '../../core/placement/prompt-record.js';
 import {LoadReportSchema} from '../../gen/jackdawwood/v1/exchange_pb.js';
+import {hash32} from '../../core/membership/rendezvous.js';
 import {type Log} from '../observe/log.js';
 
-/** Milliseconds between reports in a small fleet. */
-const MIN_PERIOD_MS = 100;
-/** Milliseconds a report of each VM adds to the period, so that a VM handles about a hundred reports a second at most. */
-const PERIOD_PER_VM_MS = 8;
-
 type Address = {readonly host: string; readonly port: number};
 
 export type LoadExchangeOptions = {
@@ -34,6 +32,10 @@
 	readonly takeSentPrompts: () => readonly SentPrompt[];
 	/** Called with the prompts that another VM has sent. */
 	readonly onSentPrompts: (sent: readonly SentPrompt[]) => void;
+	/** What targets said of their load since the last call. */
+	readonly takeObserved: () => readonly ObservedLoad[];
+	/** Called with what targets said of their load to another VM. */
+	readonly onObserved: (loads: readonly ObservedLoad[]) => void;
 };
 
 export type LoadExchange = {
@@ -42,7 +44,7 @@
 
 /** Starts to listen and to report. */
 export const startLoadExchange = async ({
-	vm, incarnation, listen, clock, log, loads, peers, targets, teams, takeSentPrompts, onSentPrompts,
+	vm, incarnation, listen, clock, log, loads, peers, targets, teams, takeSentPrompts, onSentPrompts, takeObserved, onObserved,
 }: LoadExchangeOptions): Promise<LoadExchange> => {
 	const socket = createSocket('udp4');
 	let sequence = 0;
@@ -54,6 +56,7 @@
 			if (report.vm !== vm) {
 				loads.take(report, clock.nowMs());
 				onSentPrompts(report.prompts);
+				onObserved(report.observed);
 			}
 		} catch (error) {
 			log.warn('load report not understood', {fault: String(error)});
@@ -65,24 +68,38 @@
 	socket.bind(listen.port, listen.host);
 	await once(socket, 'listening');
 
+	let next = hash32(`${vm}|${incarnation}`);
+	/** What all of a small fleet need to hear, or a sample of a large one. */
+	const contents = (isWhole: boolean) => {
+		const prompts = takeSentPrompts();
+		const observed = takeObserved();
+		return isWhole
+			? {
+				targets: targets().map(load => ({...load, readingTokens: Math.round(load.readingTokens), heldTokens: Math.round(load.heldTokens)})),
+				prompts: prompts.map(({target, keys, newTokens}) => ({target, keys: [...keys], newTokens: Math.round(newTokens)})),
+			}
+			: {observed: observed.map(load => ({...load, ageMs: Math.round(load.ageMs)}))};
+	};
+
 	const send = (): void => {
-		loads.expire(clock.nowMs());
 		const addresses = peers();
-		const prompts = takeSentPrompts();
+		const plan = planExchange(addresses.length);
+		loads.expire(clock.nowMs(), plan.validMs, plan.isWhole ? undefined : addresses.length);
+		const told = contents(plan.isWhole);
 		if (addresses.length > 0) {
 			const bytes = toBinary(LoadReportSchema, create(LoadReportSchema, {
-				vm, incarnation, sequence: ++sequence,
-				targets: targets().map(load => ({...load, readingTokens: Math.round(load.readingTokens), heldTokens: Math.round(load.heldTokens)})),
+				vm, incarnation, sequence: ++sequence, ...told,
 				teams: teams().map(load => ({...load, use: Math.round(load.use), asked: Math.round(load.asked)})),
-				prompts: prompts.map(({target, keys, newTokens}) => ({target, keys: [...keys], newTokens: Math.round(newTokens)})),
 			}));
-			for (const {host, port} of addresses) {
+			for (const {host, port} of peersOfRound(addresses, next, plan)) {
 				// A peer that cannot be reached misses one report.
 				socket.send(bytes, port, host, () => undefined);
 			}
+
+			next += plan.peersPerRound;
 		}
 
-		timer = setTimeout(send, Math.max(MIN_PERIOD_MS, PERIOD_PER_VM_MS * addresses.length));
+		timer = setTimeout(send, plan.periodMs);
 	};
 
 	send();
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -3,7 +3,7 @@
 import {type Grant, type PendingAsk, type Scheduler} from '../../core/dispatch/types.js';
 import {RefusalError} from '../../core/errors/refusal-error.js';
 import {DeadlinePassed, NoTarget} from '../../core/errors/refusals-data.js';
-import {type PlacementEffect, type PlacementMessage} from '../../core/placement/messages.js';
+import {type ObservedLoad, type PlacementEffect, type PlacementMessage} from '../../core/placement/messages.js';
 import {type FleetLoads, type TargetLoad, type TeamLoad} from '../../core/placement/fleet-loads.js';
 import {type SentPrompt} from '../../core/placement/prompt-record.js';
 import {ServicePlacement} from '../../core/placement/service-placement.js';
@@ -29,6 +29,8 @@
 	readonly vms: () => readonly string[];
 	readonly log: Log;
 	readonly loads: FleetLoads;
+	/** Uniform in [0, 1). */
+	readonly random: () => number;
 };
 
 export type PlacementScheduler = Required<Scheduler> & {
@@ -40,6 +42,10 @@
 	readonly teamLoads: () => readonly TeamLoad[];
 	/** Prompts that were sent since the last call, for the report to the other VMs. */
 	readonly takeSentPrompts: () => readonly SentPrompt[];
+	/** What targets said of their load since the last call, for the report to the other VMs. */
+	readonly takeObserved: () => readonly ObservedLoad[];
+	/** Takes in what targets said of their load to another VM. */
+	readonly onObserved: (loads: readonly ObservedLoad[]) => void;
 	/** Takes in the prompts that another VM has sent. */
 	readonly onSentPrompts: (sent: readonly SentPrompt[]) => void;
 	/** Asks that wait, by service. */
@@ -51,7 +57,7 @@
 	readonly reject: (err: RefusalError) => void;
 };
 
-export const createPlacementScheduler = ({vm, dataCentre, bounds, clock, view, vms, log, loads}: PlacementSchedulerOptions): PlacementScheduler => {
+export const createPlacementScheduler = ({vm, dataCentre, bounds, clock, view, vms, log, loads, random}: PlacementSchedulerOptions): PlacementScheduler => {
 	const placements = new Map<string, ServicePlacement>();
 	const waiters = new Map<string, Waiter>();
 	const serviceOfGrant = new Map<string, string>();
@@ -143,7 +149,7 @@
 			}
 
 			placements.set(service.name, new ServicePlacement({
-				service, bounds, vm, vms, dataCentre, fleet: loads, createGrantId,
+				service, bounds, vm, vms, dataCentre, fleet: loads, createGrantId, random,
 			}));
 			tell(service.name, {kind: 'data-centres-out', names: view.outNames()});
 			for (const target of view.targets().values()) {
@@ -242,6 +248,12 @@
 		targetLoads: () => [...placements.values()].flatMap(placement => placement.targetLoads()),
 		teamLoads: () => [...placements.values()].flatMap(placement => placement.teamLoads(clock.nowMs())),
 		takeSentPrompts: () => [...placements.values()].flatMap(placement => placement.takeSentPrompts()),
+		takeObserved: () => [...placements.values()].flatMap(placement => placement.takeObserved(clock.nowMs())),
+		onObserved(observed) {
+			if (observed.length > 0) {
+				tellAll({kind: 'observed-elsewhere', loads: observed});
+			}
+		},
 		onSentPrompts(prompts) {
 			for (const sent of prompts) {
 				const service = view.targets().get(sent.target)?.service;
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -106,7 +106,7 @@
 	const view = createFleetView(log);
 	const loads = new FleetLoads();
 	const scheduler = createPlacementScheduler({
-		vm, dataCentre, bounds, clock, view, vms, log, loads,
+		vm, dataCentre, bounds, clock, view, vms, log, loads, random,
 	});
 	const shed = createLoadShed({behindMs: limits.behindMs, random});
 	const loopDelay = startLoopDelay({
@@ -121,6 +121,7 @@
 		vm, incarnation, listen: options.exchange, clock, log, loads,
 		peers: options.peers, targets: scheduler.targetLoads, teams: scheduler.teamLoads,
 		takeSentPrompts: scheduler.takeSentPrompts, onSentPrompts: scheduler.onSentPrompts,
+		takeObserved: scheduler.takeObserved, onObserved: scheduler.onObserved,
 	});
 	const serviceAt = (address: string) => [...view.targets().values()].find(target => target.address === address)?.service;
 	const pools = createTargetPools(address => serviceAt(address) !== undefined, {
--- a/test/placement/_service.ts
+++ b/test/placement/_service.ts
@@ -39,12 +39,13 @@
 	readonly vms?: readonly string[];
 	readonly service?: RoutedService;
 	readonly fleet?: FleetLoads;
+	readonly random?: () => number;
 };
 
-export const createPlacement = ({vm = 'vm-1', vms = ['vm-1'], service = modelService, fleet = new FleetLoads()}: Setup = {}): ServicePlacement => {
+export const createPlacement = ({vm = 'vm-1', vms = ['vm-1'], service = modelService, fleet = new FleetLoads(), random = () => 0.5}: Setup = {}): ServicePlacement => {
 	let grants = 0;
 	return new ServicePlacement({
-		service, bounds, vm, vms: () => vms, dataCentre: 'dc-a', fleet,
+		service, bounds, vm, vms: () => vms, dataCentre: 'dc-a', fleet, random,
 		createGrantId() {
 			grants++;
 			return `${vm}-${grants}`;
--- a/test/placement/service-placement.test.ts
+++ b/test/placement/service-placement.test.ts
@@ -173,7 +173,7 @@
 		}],
 	}, 0);
 	t.deepEqual(targetsOf(placement.handle({kind: 'ask', ask: ask('team', 1, {prompt: prompt('a', 5000)})}, 1)), ['t2']);
-	fleet.expire(5000);
+	fleet.expire(5000, 1500);
 	t.is(fleet.at('t1').running, 0);
 });
 
