Read what has arrived before a request is refused as too slow

Callers of a VM that stood still were refused with ReadTimeout although their bodies had arrived: after a stall timers run before the connections are read. The refusal now waits for the end of the loop's turn, in which what has arrived is read.

--- a/src/runtime/entry/read-body.ts
+++ b/src/runtime/entry/read-body.ts
@@ -9,8 +9,10 @@
 export const readBody = async (req: IncomingMessage, limits: EntryLimits): Promise<Uint8Array> => new Promise((resolve, reject) => {
 	const chunks: Uint8Array[] = [];
 	let size = 0;
+	let lastRead: NodeJS.Immediate | undefined;
 	const settle = (act: () => void) => {
 		clearTimeout(timer);
+		clearImmediate(lastRead);
 		req.removeAllListeners('data');
 		act();
 	};
@@ -23,7 +25,10 @@
 	};
 
 	const timer = setTimeout(() => {
-		fail(new RefusalError(ReadTimeout, {limit: limits.readTimeoutMs}));
+		// After a stall, timers come before what has arrived meanwhile.
+		lastRead = setImmediate(() => {
+			fail(new RefusalError(ReadTimeout, {limit: limits.readTimeoutMs}));
+		});
 	}, limits.readTimeoutMs);
 
 	if (Number(req.headers['content-length'] ?? 0) > limits.bodyBytes) {
