Tell that a VM is behind by the delay of its timers alone

Looks that come late are counted, calm ones take two off, so a single stall, however long, refuses nothing. A look is late from 20 ms.

--- a/src/core/admission/load-shed.ts
+++ b/src/core/admission/load-shed.ts
@@ -9,36 +9,28 @@
 import {createTeamUse, type TeamUse} from '../placement/team-use.js';
 import {fairLevel} from '../placement/fair-level.js';
 
-/** Busy share of the processor above which a VM may be overloaded, and below which its load is over. */
-const HIGH_BUSY = 0.9;
-const OVER_BUSY = 0.5;
-/** Looks in a row at which a VM must be behind before it refuses: a short stall is no overload. */
-const LOOKS_BEFORE = 4;
-/** Part of what is still taken that is given up at each look while the VM is behind. */
+/** Part of the delay at which a VM is behind below which a look is calm. */
+const CALM_PART = 0.4;
+/** Late looks, less what calm ones take off, from which a VM is behind: a stall, however long, is no overload. */
+const LATE_LOOKS = 5;
+/** Late looks that are counted at most, so that a long overload is over as soon as a short one. */
+const MAX_LATE_LOOKS = 8;
+/** Late looks that a calm one takes off. */
+const CALM_LOOKS = 2;
+/** Part of what is still taken that is given up at each late look while the VM is behind. */
 const GROW_PART = 0.3;
-/** Share by which the refused one falls at each look at which it is not. */
+/** Share by which the refused one falls at each other look, and its factor when the VM is not behind. */
 const FALL_SHARE = 0.03;
-/** Factor by which it falls at each look once the load is over. */
 const OVER_FACTOR = 0.6;
-/** Weight of the last look in the delay. */
-const DELAY_WEIGHT = 0.5;
 /** A part is always taken, so that the VM notices when the load changes. */
 const MAX_SHARE = 0.95;
 
-/** How a process did since the look before. */
-export type ProcessLook = {
-	/** Part of the time in which it was busy, from 0 to 1. */
-	readonly busyShare: number;
-	/** Milliseconds by which the look came late. */
-	readonly delayMs: number;
-};
-
 /** Refused share above which the VM asks for no new callers; below, the refusals alone may do. */
 const OVERLOADED_SHARE = 0.15;
 
 export type LoadShed = {
-	/** Takes in a look at the process. */
-	readonly noteLook: (look: ProcessLook) => void;
+	/** Takes in by how many milliseconds the last look at the process came late. */
+	readonly noteDelay: (delayMs: number) => void;
 	/** Counts a request of a team; whether it is taken. */
 	readonly takes: (team: string, nowMs: number) => boolean;
 	/** Share of requests that is refused now. */
@@ -58,8 +50,7 @@
 export const createLoadShed = ({behindMs, random}: LoadShedOptions): LoadShed => {
 	const offered: TeamUse = createTeamUse();
 	let share = 0;
-	let delayMs = 0;
-	let looksBehind = 0;
+	let lateLooks = 0;
 
 	const takenPart = (team: string, nowMs: number): number => {
 		const uses = offered.teams(nowMs).map(name => offered.of(name, nowMs));
@@ -68,15 +59,19 @@
 	};
 
 	return {
-		noteLook({busyShare, delayMs: lastMs}) {
-			delayMs += (lastMs - delayMs) * DELAY_WEIGHT;
-			const isBehind = busyShare > HIGH_BUSY && delayMs > behindMs;
-			looksBehind = isBehind ? looksBehind + 1 : 0;
-			if (looksBehind >= LOOKS_BEFORE || (isBehind && share > 0)) {
+		noteDelay(delayMs) {
+			const isLate = delayMs > behindMs;
+			if (isLate) {
+				lateLooks = Math.min(MAX_LATE_LOOKS, lateLooks + 1);
+			} else if (delayMs < behindMs * CALM_PART) {
+				lateLooks = Math.max(0, lateLooks - CALM_LOOKS);
+			}
+
+			const isBehind = lateLooks >= LATE_LOOKS;
+			if (isBehind && isLate) {
 				share = Math.min(MAX_SHARE, share + ((1 - share) * GROW_PART));
-			} else if (!isBehind) {
-				const fallen = busyShare < OVER_BUSY ? Math.min(share * OVER_FACTOR, share - FALL_SHARE) : share - FALL_SHARE;
-				share = Math.max(0, fallen);
+			} else {
+				share = Math.max(0, isBehind ? share - FALL_SHARE : Math.min(share * OVER_FACTOR, share - FALL_SHARE));
 			}
 		},
 		takes(team, nowMs) {
--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -70,7 +70,7 @@
 	body_bytes: integer('Largest body of a caller\'s request.', 1024, 1_073_741_824).default(4_194_304),
 	header_bytes: integer('Largest total of a request\'s headers.', 1024, 1_048_576).default(16_384),
 	read_timeout_ms: integer('Time within which a request\'s headers and body have to arrive.', 10, MAX_TIME_MS).default(10_000),
-	behind_ms: integer('Delay of the event loop above which a busy VM refuses requests and asks for no new callers: it takes one new connection a turn.', 5, MAX_TIME_MS).default(30),
+	behind_ms: integer('Delay of the event loop above which a VM refuses requests and asks for no new callers: it takes one new connection a turn.', 5, MAX_TIME_MS).default(20),
 	connections_per_team: integer('Requests of one team that may be open at this VM.', 1, 100_000).default(500),
 }).meta({description: 'Limits on callers\' requests. Each has its own refusal.'});
 
--- a/src/runtime/observe/loop-delay.ts
+++ b/src/runtime/observe/loop-delay.ts
@@ -1,11 +1,8 @@
 /**
- * Watches how far this process is behind its work: how late a timer of its own fires, which
- * share of the time it was busy, and how much processor time it used. Requests that wait
- * to be read show nowhere else.
+ * Watches how far this process is behind its work: how late a timer of its own fires, and
+ * how much processor time it used. Requests that wait to be read show nowhere else.
  */
-import {performance} from 'node:perf_hooks';
 import process from 'node:process';
-import {type ProcessLook} from '../../core/admission/load-shed.js';
 import {type Clock} from '../../core/clock.js';
 import {type Log} from './log.js';
 import {type Metrics} from './metrics.js';
@@ -16,9 +13,8 @@
 const LINE_MS = 5000;
 const US_PER_MS = 1000;
 const PERCENT = 100;
-/** Busy share above which, and milliseconds of delay beyond which, connections may hold news that was not read yet. */
-const BEHIND_BUSY = 0.8;
-const BEHIND_MS = 50;
+/** Milliseconds of delay beyond which connections may hold news that was not read yet. */
+const UNREAD_MS = 10;
 
 export type LoopDelay = {
 	/** Whether what callers did may not have been read yet. */
@@ -37,7 +33,8 @@
 	readonly metrics: Metrics;
 	/** Other VMs that are heard, for the line. */
 	readonly heard: () => number;
-	readonly onLook: (look: ProcessLook) => void;
+	/** Told at each look by how many milliseconds it came late. */
+	readonly onLook: (delayMs: number) => void;
 	/** Share of requests that is refused, for the line. */
 	readonly refusedShare: () => number;
 };
@@ -46,30 +43,27 @@
 export const startLoopDelay = ({clock, log, metrics, heard, onLook, refusedShare}: LoopDelayOptions): LoopDelay => {
 	let dueMs = clock.nowMs() + LOOK_MS;
 	let lastMs = 0;
-	let use = performance.eventLoopUtilization();
-	let busyShare = 0;
-	let line = {atMs: clock.nowMs(), cpuMs: cpuMs(), maxDelayMs: 0};
+	let line = {atMs: clock.nowMs(), cpuMs: cpuMs(), maxDelayMs: 0, sumMs: 0, looks: 0};
 	let timer: NodeJS.Timeout;
 
 	const writeLine = (nowMs: number): void => {
 		const usedMs = cpuMs();
 		const spanMs = nowMs - line.atMs;
 		log.info('processor', {
-			used_ms: Math.round(usedMs - line.cpuMs), of_ms: Math.round(spanMs), max_delay_ms: Math.round(line.maxDelayMs), since_start_ms: Math.round(usedMs), vms_heard: heard(),
+			used_ms: Math.round(usedMs - line.cpuMs), of_ms: Math.round(spanMs), mean_delay_ms: Math.round(line.sumMs / line.looks), max_delay_ms: Math.round(line.maxDelayMs), since_start_ms: Math.round(usedMs), vms_heard: heard(),
 			refused_share: Math.round(refusedShare() * PERCENT) / PERCENT,
 		});
-		line = {atMs: nowMs, cpuMs: usedMs, maxDelayMs: 0};
+		line = {atMs: nowMs, cpuMs: usedMs, maxDelayMs: 0, sumMs: 0, looks: 0};
 	};
 
 	const look = (): void => {
 		const nowMs = clock.nowMs();
 		lastMs = Math.max(0, nowMs - dueMs);
 		metrics.loopDelay.observe(lastMs / 1000);
-		const useNow = performance.eventLoopUtilization();
-		busyShare = performance.eventLoopUtilization(useNow, use).utilization;
-		use = useNow;
-		onLook({busyShare, delayMs: lastMs});
-		line = {...line, maxDelayMs: Math.max(line.maxDelayMs, lastMs)};
+		onLook(lastMs);
+		line = {
+			...line, maxDelayMs: Math.max(line.maxDelayMs, lastMs), sumMs: line.sumMs + lastMs, looks: line.looks + 1,
+		};
 		if (nowMs - line.atMs >= LINE_MS) {
 			writeLine(nowMs);
 		}
@@ -80,7 +74,7 @@
 
 	timer = setTimeout(look, LOOK_MS);
 	return {
-		isBehind: () => busyShare > BEHIND_BUSY || lastMs > BEHIND_MS,
+		isBehind: () => lastMs > UNREAD_MS,
 		stop() {
 			clearTimeout(timer);
 		},
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -111,8 +111,8 @@
 	const shed = createLoadShed({behindMs: limits.behindMs, random});
 	const loopDelay = startLoopDelay({
 		clock, log, metrics, heard: () => loads.heard,
-		onLook(look) {
-			shed.noteLook(look);
+		onLook(delayMs) {
+			shed.noteDelay(delayMs);
 			metrics.shedShare.set(shed.share());
 		},
 		refusedShare: shed.share,
--- a/test/admission/load-shed.test.ts
+++ b/test/admission/load-shed.test.ts
@@ -1,12 +1,12 @@
 import test from 'ava';
 import {createLoadShed, type LoadShed} from '../../src/core/admission/load-shed.js';
 
-const behind = {busyShare: 1, delayMs: 300};
-const calm = {busyShare: 0.3, delayMs: 2};
+const behind = 300;
+const calm = 2;
 
-const look = (shed: LoadShed, times: number, what: typeof behind): void => {
+const look = (shed: LoadShed, times: number, delayMs: number): void => {
 	for (let count = 0; count < times; count++) {
-		shed.noteLook(what);
+		shed.noteDelay(delayMs);
 	}
 };
 
@@ -30,9 +30,9 @@
 	t.is(takenOf(shed, 'team', 50), 50);
 });
 
-test('a processor that is busy and keeps up refuses nothing', t => {
+test('a VM that keeps up refuses nothing', t => {
 	const shed = createLoadShed({behindMs: 30, random: evenRandom()});
-	look(shed, 50, {busyShare: 1, delayMs: 20});
+	look(shed, 50, 20);
 	t.is(takenOf(shed, 'team', 50), 50);
 });
 
