--- a/src/core/admission/load-shed.ts
+++ b/src/core/admission/load-shed.ts
@@ -68,11 +68,7 @@
 			}
 
 			const isBehind = lateLooks >= LATE_LOOKS;
-			if (isBehind && isLate) {
-				share = Math.min(MAX_SHARE, share + ((1 - share) * GROW_PART));
-			} else {
-				share = Math.max(0, isBehind ? share - FALL_SHARE : Math.min(share * OVER_FACTOR, share - FALL_SHARE));
-			}
+			share = isBehind && isLate ? Math.min(MAX_SHARE, share + ((1 - share) * GROW_PART)) : Math.max(0, isBehind ? share - FALL_SHARE : Math.min(share * OVER_FACTOR, share - FALL_SHARE));
 		},
 		takes(team, nowMs) {
 			offered.add(team, 1, nowMs);
--- a/src/runtime/observe/loop-delay.ts
+++ b/src/runtime/observe/loop-delay.ts
@@ -43,17 +43,26 @@
 export const startLoopDelay = ({clock, log, metrics, heard, onLook, refusedShare}: LoopDelayOptions): LoopDelay => {
 	let dueMs = clock.nowMs() + LOOK_MS;
 	let lastMs = 0;
-	let line = {atMs: clock.nowMs(), cpuMs: cpuMs(), maxDelayMs: 0, sumMs: 0, looks: 0};
+	let line = {
+		atMs: clock.nowMs(), cpuMs: cpuMs(), maxDelayMs: 0, sumMs: 0, looks: 0,
+	};
 	let timer: NodeJS.Timeout;
 
 	const writeLine = (nowMs: number): void => {
 		const usedMs = cpuMs();
 		const spanMs = nowMs - line.atMs;
 		log.info('processor', {
-			used_ms: Math.round(usedMs - line.cpuMs), of_ms: Math.round(spanMs), mean_delay_ms: Math.round(line.sumMs / line.looks), max_delay_ms: Math.round(line.maxDelayMs), since_start_ms: Math.round(usedMs), vms_heard: heard(),
+			used_ms: Math.round(usedMs - line.cpuMs),
+			of_ms: Math.round(spanMs),
+			mean_delay_ms: Math.round(line.sumMs / line.looks),
+			max_delay_ms: Math.round(line.maxDelayMs),
+			since_start_ms: Math.round(usedMs),
+			vms_heard: heard(),
 			refused_share: Math.round(refusedShare() * PERCENT) / PERCENT,
 		});
-		line = {atMs: nowMs, cpuMs: usedMs, maxDelayMs: 0, sumMs: 0, looks: 0};
+		line = {
+			atMs: nowMs, cpuMs: usedMs, maxDelayMs: 0, sumMs: 0, looks: 0,
+		};
 	};
 
 	const look = (): void => {
