--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -101,6 +101,7 @@
 	retry_window_s: fraction('Length of the sliding window in which repeats are counted, in seconds.', 600).default(10),
 	retry_slack: integer('Repeats allowed in that window beyond the ratio, over the whole fleet.', 0, 100_000).default(20),
 	grace_s: fraction('Time from a stop signal to the end of the process, in seconds.', 600).default(10),
+	drain_ms: integer('Time after a target has announced that it leaves within which it must get nothing more.', 100, MAX_TIME_MS).default(2000),
 	heartbeat_ms: integer('Time between heartbeats of a target.', 10, MAX_TIME_MS).default(1000),
 }).meta({description: 'Bounds that the deployment promises over all VMs together.'});
 
--- a/test/platform/fleet-source.test.ts
+++ b/test/platform/fleet-source.test.ts
@@ -16,7 +16,7 @@
 	});
 	store.put('servers', 'stays', entry('127.0.0.1:1'));
 	const source = createFleetSource({
-		client: createStoreClient({address: store.address, clock: monotonicClock, metrics: createMetrics()}), vm: 'edge-1', exchange: '127.0.0.1:2', clock: monotonicClock, log: silentLog,
+		client: createStoreClient({address: store.address, clock: monotonicClock, metrics: createMetrics()}), vm: 'edge-1', exchange: '127.0.0.1:2', clock: monotonicClock, log: silentLog, drainMs: 2000,
 	});
 	const news: FleetNews[] = [];
 	source.start(item => {
@@ -39,7 +39,7 @@
 test('a table that does not change takes no call before its wait is over', async t => {
 	const store = await startWorksStore();
 	const source = createFleetSource({
-		client: createStoreClient({address: store.address, clock: monotonicClock, metrics: createMetrics()}), vm: 'edge-1', exchange: '127.0.0.1:2', clock: monotonicClock, log: silentLog,
+		client: createStoreClient({address: store.address, clock: monotonicClock, metrics: createMetrics()}), vm: 'edge-1', exchange: '127.0.0.1:2', clock: monotonicClock, log: silentLog, drainMs: 2000,
 	});
 	let isRead = false;
 	source.start(({kind}) => {
@@ -57,3 +57,27 @@
 	await delay(2000);
 	t.true(store.calls() - before <= 2, `${store.calls() - before} calls in 2 s, of two tables with waits of 2.5 s`);
 });
+
+test('a store that turns a VM away is asked less and less often', async t => {
+	const store = await startWorksStore();
+	store.setMood('unavailable');
+	const source = createFleetSource({
+		client: createStoreClient({address: store.address, clock: monotonicClock, metrics: createMetrics()}), vm: 'edge-1', exchange: '127.0.0.1:2', clock: monotonicClock, log: silentLog, drainMs: 2000,
+	});
+	const news: FleetNews[] = [];
+	source.start(item => {
+		news.push(item);
+	});
+	t.teardown(async () => {
+		await source.stop();
+		await store.close();
+	});
+
+	await delay(2000);
+	const before = store.calls();
+	await delay(3000);
+	t.true(store.calls() - before <= 10, `${store.calls() - before} calls in 3 s, of two tables once a second and a VM's row`);
+	store.setMood('well');
+	await delay(1500);
+	t.true(news.some(({kind}) => kind === 'all-targets'), 'read soon after the return');
+});
