Read a new connection once more before its first request is sent on

The first request of each connection is now held for two turns of the loop, which read what has arrived behind it.

--- a/src/runtime/overflow/serve-overflow.ts
+++ b/src/runtime/overflow/serve-overflow.ts
@@ -23,7 +23,7 @@
 const END_TURNS = 4;
 /** Looks at requests that arrive slowly, and milliseconds between them, before their connections are closed. */
 const LATE_LOOKS = 20;
-const LOOK_MS = 5;
+const LOOK_MS = 25;
 
 type Wire = Pick<CallerWire, 'readHead' | 'writeRefusal'>;
 
--- a/src/runtime/routing/serve-request.ts
+++ b/src/runtime/routing/serve-request.ts
@@ -1,5 +1,6 @@
 /** One routed request from its first header to its end. */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
 import {setImmediate as turn} from 'node:timers/promises';
 import {OVERLOADED_RETRY_MS, type LoadShed} from '../../core/admission/load-shed.js';
 import {RefusalError} from '../../core/errors/refusal-error.js';
@@ -51,6 +52,16 @@
 	await turn();
 };
 
+/** Connections that have brought a request. */
+const known = new WeakSet<Socket>();
+
+/** Whether a request is the first of its connection, which may have waited to be accepted for longer than its caller did. */
+const isFirstOf = (socket: Socket): boolean => {
+	const isFirst = !known.has(socket);
+	known.add(socket);
+	return isFirst;
+};
+
 /** Serves one request; never rejects. */
 export const serveRequest = async (req: IncomingMessage, res: ServerResponse, ctx: ServeContext): Promise<void> => {
 	const {view, wire, attempts, random, shed, isBehind} = ctx;
@@ -72,7 +83,7 @@
 			throw new RefusalError(VmOverloaded, {}, {retryAfterMs: OVERLOADED_RETRY_MS});
 		}
 
-		if (isBehind()) {
+		if (isBehind() || isFirstOf(req.socket)) {
 			await nextReads();
 		}
 
