Ask for no new callers while connections wait to be accepted

A VM now is not ready for 3 s after connections have waited, so the flood moves from one VM of the data centre to the next, each of which serves part of it and keeps the connections that it has accepted.

--- a/src/runtime/overflow/start-overflow.ts
+++ b/src/runtime/overflow/start-overflow.ts
@@ -23,7 +23,12 @@
 	readonly metrics: Metrics;
 };
 
+/** Milliseconds for which a VM asks for no new callers after connections waited: the balancer looks once a second and needs two looks. */
+const HOLD_MS = 3000;
+
 export type Overflow = {
+	/** Whether connections have waited lately. */
+	readonly isBacklogged: () => boolean;
 	/**
 	 * Stops a server with its thread.
 	 *
@@ -69,6 +74,9 @@
 	const signal = new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT);
 	const flag = new Int32Array(signal);
 	let worker: Worker | undefined;
+	let backlogMs = -Infinity;
+
+	const isBacklogged = () => clock.nowMs() < backlogMs + HOLD_MS;
 
 	const onReport = ({requestIds}: OverflowReport): void => {
 		for (const requestId of requestIds) {
@@ -95,11 +103,17 @@
 			start();
 		}
 
+		if (!isBacklogged()) {
+			log.info('connections wait to be accepted', {not_ready_ms: HOLD_MS});
+		}
+
+		backlogMs = clock.nowMs();
 		Atomics.store(flag, 0, 1);
 		Atomics.notify(flag, 0);
 	});
 
 	return {
+		isBacklogged,
 		async stop(stopServer) {
 			endWatch();
 			const stopped = stopServer();
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -163,12 +163,12 @@
 		void serveRequest(req, res, ctx);
 	});
 
-	const isReady = () => !isLeaving && view.isComplete() && !shed.isOverloaded();
-	const statusServers = await startStatus(options, {isReady, loads});
 	const address = await listen(server, options.callers);
 	const overflow = startOverflow({
 		module: options.overflowModule, server, clock, log, metrics,
 	});
+	const isReady = () => !isLeaving && view.isComplete() && !shed.isOverloaded() && !overflow.isBacklogged();
+	const statusServers = await startStatus(options, {isReady, loads});
 	log.info('started', {vm, data_centre: dataCentre, callers: address});
 	source.start(news => {
 		for (const change of view.apply(news)) {
--- a/test/platform/overload.test.ts
+++ b/test/platform/overload.test.ts
@@ -107,7 +107,7 @@
 type FloodAnswer = {readonly status: number; readonly ms: number; readonly head: string};
 
 test.serial('callers that wait to be accepted by a slow VM are refused soon', async t => {
-	const {address, call} = await startPlatform(t);
+	const {address, call, ready} = await startPlatform(t);
 	await call('/look/warm');
 	let isSlow = true;
 	const slowTurns = async (): Promise<void> => {
@@ -126,6 +126,9 @@
 	});
 	isSlow = false;
 	await slow;
+	const balancer = await request(`http://${ready}/v1/readyz`);
+	await balancer.body.dump();
+	t.is(balancer.statusCode, 503, 'new callers are asked to go elsewhere for a while');
 	const refused = answers.filter(({status}) => status === 503);
 	t.deepEqual(answers.filter(({status}) => status !== 503 && status !== 200), []);
 	t.true(refused.length >= 50, `${refused.length} of 150 refused: at one a turn of 25 ms the last would wait 3.75 s`);
