Split the count of late looks; two targets at random by name

No behaviour changes: one long conditional of the load shedder is a function and an early return, and the choice of two random targets no longer takes a count that it did not use.

--- a/src/core/admission/load-shed.ts
+++ b/src/core/admission/load-shed.ts
@@ -11,6 +11,7 @@
 
 /** Retry-After of an overloaded VM, in milliseconds: short, since the next try reaches another VM. */
 export const OVERLOADED_RETRY_MS = 100;
+
 /** Part of the delay at which a VM is behind below which a look is calm. */
 const CALM_PART = 0.4;
 /** Late looks, less what calm ones take off, from which a VM is behind: a stall, however long, is no overload. */
@@ -60,17 +61,26 @@
 		return Math.min(1, fairLevel(uses, total * (1 - share)) / offered.of(team, nowMs));
 	};
 
+	const nextLateLooks = (delayMs: number): number => {
+		if (delayMs > behindMs) {
+			return Math.min(MAX_LATE_LOOKS, lateLooks + 1);
+		}
+
+		return delayMs < behindMs * CALM_PART ? Math.max(0, lateLooks - CALM_LOOKS) : lateLooks;
+	};
+
 	return {
 		noteDelay(delayMs) {
 			const isLate = delayMs > behindMs;
-			if (isLate) {
-				lateLooks = Math.min(MAX_LATE_LOOKS, lateLooks + 1);
-			} else if (delayMs < behindMs * CALM_PART) {
-				lateLooks = Math.max(0, lateLooks - CALM_LOOKS);
+			lateLooks = nextLateLooks(delayMs);
+			const isBehind = lateLooks >= LATE_LOOKS;
+			if (isBehind && isLate) {
+				share = Math.min(MAX_SHARE, share + ((1 - share) * GROW_PART));
+				return;
 			}
 
-			const isBehind = lateLooks >= LATE_LOOKS;
-			share = isBehind && isLate ? Math.min(MAX_SHARE, share + ((1 - share) * GROW_PART)) : Math.max(0, isBehind ? share - FALL_SHARE : Math.min(share * OVER_FACTOR, share - FALL_SHARE));
+			const fallen = share - FALL_SHARE;
+			share = Math.max(0, isBehind ? fallen : Math.min(share * OVER_FACTOR, fallen));
 		},
 		takes(team, nowMs) {
 			offered.add(team, 1, nowMs);
--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -24,8 +24,6 @@
 const MIN_COPY_TOKENS = 150;
 /** Milliseconds that a target costs, as a price, while it is not known to be alive. */
 const DOUBT_PRICE_MS = 300;
-/** Targets at random that are compared in a large fleet: the better of two keeps loads even without exact figures. */
-const RANDOM_TARGETS = 2;
 /** Largest part of the targets that is passed over after failures; more would crowd the rest. */
 const MAX_PASSED_OVER_SHARE = 0.34;
 
@@ -166,9 +164,9 @@
 /** Whether any target is left for the request, now or later. */
 export const hasTargetLeft = (ask: PlacedAsk, ctx: ChoiceContext): boolean => untried(ask, ctx).length > 0;
 
-/** Targets at random, each at most once. */
-const randomOf = (targets: readonly PlacedTarget[], count: number, random: () => number): readonly PlacedTarget[] => {
-	if (targets.length <= count) {
+/** Two targets at random: the better of two keeps loads even without exact figures. */
+const twoAtRandom = (targets: readonly PlacedTarget[], random: () => number): readonly PlacedTarget[] => {
+	if (targets.length <= 2) {
 		return targets;
 	}
 
@@ -189,7 +187,7 @@
 	}
 
 	const homes = homesOf(keys, ctx).filter(target => left.includes(target));
-	return [...homes, ...randomOf(left, RANDOM_TARGETS, ctx.random).filter(target => !homes.includes(target))];
+	return [...homes, ...twoAtRandom(left, ctx.random).filter(target => !homes.includes(target))];
 };
 
 /**
