--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -5,9 +5,8 @@
 import {build} from 'esbuild';
 
 await build({
-	// The thread is a file of its own: it starts under load, and needs little of the router.
-	entryPoints: [{in: 'platform/main.ts', out: 'router'}, {in: 'platform/overflow.ts', out: 'overflow'}],
-	outdir: 'target',
+	entryPoints: ['platform/main.ts'],
+	outfile: 'target/router.mjs',
 	bundle: true,
 	minify: true,
 	keepNames: true,
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -13,7 +13,6 @@
 import {createServerStop} from '../entry/server-stop.js';
 import {createTargetPools} from '../entry/target-pools.js';
 import {type Log} from '../observe/log.js';
-import {startOverflow} from '../overflow/start-overflow.js';
 import {startLoopDelay} from '../observe/loop-delay.js';
 import {type Metrics} from '../observe/metrics.js';
 import {FleetLoads} from '../../core/placement/fleet-loads.js';
@@ -57,8 +56,6 @@
 	readonly bounds: RoutingBounds;
 	readonly callerWire: CallerWire;
 	readonly targetWire: TargetWire;
-	/** Module of the thread that refuses what the VM cannot accept. */
-	readonly overflowModule: URL;
 	readonly source: FleetSource;
 	readonly vms: () => readonly string[];
 	readonly clock: Clock;
@@ -163,12 +160,9 @@
 		void serveRequest(req, res, ctx);
 	});
 
-	const address = await listen(server, options.callers);
-	const overflow = startOverflow({
-		module: options.overflowModule, server, clock, log, metrics,
-	});
-	const isReady = () => !isLeaving && view.isComplete() && !shed.isOverloaded() && !overflow.isBacklogged();
+	const isReady = () => !isLeaving && view.isComplete() && !shed.isOverloaded();
 	const statusServers = await startStatus(options, {isReady, loads});
+	const address = await listen(server, options.callers);
 	log.info('started', {vm, data_centre: dataCentre, callers: address});
 	source.start(news => {
 		for (const change of view.apply(news)) {
@@ -192,7 +186,7 @@
 		serverStop.leave();
 		const endByMs = clock.nowMs() + bounds.graceMs - END_MARGIN_MS;
 		await delay(Math.min(LEAVE_NOTICE_MS, bounds.graceMs / 2));
-		await Promise.race([overflow.stop(serverStop.stop), delay(Math.max(0, endByMs - clock.nowMs()))]);
+		await Promise.race([serverStop.stop(), delay(Math.max(0, endByMs - clock.nowMs()))]);
 		log.info('stopped');
 		await source.stop();
 		scheduler.stop();
