Let at most 64 connections wait to be accepted

The VM used all of its processor, its timers were 28 ms late on average, and it accepted one connection a turn all the time. Cause: up to 511 connections, Node's default, wait to be accepted, first come first served. At the rate of a flooded VM that is more than two seconds, callers give up after one, so each connection that is accepted was already given up, and no caller that still waits gets its turn. The same queue explains GONE. Ruled out: a VM that stands still (its log lines and answers go on).

The queue now holds 64, a third of a second at 200 a second. What does not fit is dropped by the system and tried again by the caller.

--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -31,6 +31,12 @@
 const END_MARGIN_MS = 500;
 /** How often the server looks for requests that arrive too slowly. */
 const SLOW_CHECK_MS = 500;
+/**
+ * Connections of callers that may wait to be accepted. Node accepts one a turn of its loop,
+ * some 200 a second on a small VM that is flooded, and callers wait a second at most: out of
+ * a longer queue would come only connections that were given up, and no other would be taken.
+ */
+const CALLERS_BACKLOG = 64;
 /** Part of a target's connections that all VMs together use. */
 const CONNECTION_SHARE = 0.9;
 /** Milliseconds to connect to a target; a lost opening packet would cost a second or more, another target a few milliseconds. */
@@ -162,7 +168,7 @@
 
 	const isReady = () => !isLeaving && view.isComplete() && !shed.isOverloaded();
 	const statusServers = await startStatus(options, {isReady, loads});
-	const address = await listen(server, options.callers);
+	const address = await listen(server, {...options.callers, backlog: CALLERS_BACKLOG});
 	log.info('started', {vm, data_centre: dataCentre, callers: address});
 	source.start(news => {
 		for (const change of view.apply(news)) {
