--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -4,14 +4,15 @@
  * can start in time wait; the team that received least lately goes first, here and
  * before teams of other VMs that received more.
  */
-import {hash32} from '../membership/rendezvous.js';
 import {type RoutedService, type TargetRecord} from '../routing/types.js';
 import {type FleetLoads, type TargetLoad, type TeamLoad} from './fleet-loads.js';
+import {coldLimit} from './cold-limit.js';
 import {planExchange} from './exchange-plan.js';
 import {type ObservedLoad, type PlacementEffect, type PlacementMessage} from './messages.js';
 import {PlacedTarget, type DoubtTimes} from './placed-target.js';
 import {createPromptRecord, type PromptRecord, type SentPrompt} from './prompt-record.js';
 import {createReadRate, type ReadRate} from './read-rate.js';
+import {createSentPrompts} from './sent-prompts.js';
 import {
 	chooseTarget, hasTargetLeft, whyClosed, type Candidate, type ChoiceContext,
 } from './target-choice.js';
@@ -32,8 +33,6 @@
 const MAX_RETRY_AFTER_MS = 2000;
 /** What is told when no target is known. */
 const NO_TARGET_RETRY_AFTER_MS = 1000;
-/** Weight of one request in averages. */
-const AVERAGE_WEIGHT = 0.05;
 
 type Message<Kind extends PlacementMessage['kind']> = Extract<PlacementMessage, {kind: Kind}>;
 
@@ -69,10 +68,7 @@
 	#out: ReadonlySet<string> = new Set();
 	#homes: readonly PlacedTarget[] = [];
 	#homesOfPrompt = new Map<number, readonly PlacedTarget[]>();
-	/** Prompts that were sent since the last report to the other VMs. */
-	#sent: SentPrompt[] = [];
-	#averageNewTokens = 0;
-	#averageHeldTokens = 0;
+	readonly #sent = createSentPrompts();
 	#observedToldMs = -Infinity;
 
 	constructor(options: ServicePlacementOptions) {
@@ -106,9 +102,7 @@
 
 	/** Prompts that were sent since the last call, for the report to the other VMs. */
 	takeSentPrompts(): readonly SentPrompt[] {
-		const sent = this.#sent;
-		this.#sent = [];
-		return sent;
+		return this.#sent.take();
 	}
 
 	/** What targets said of their load since the last call, for the report to the other VMs. */
@@ -292,24 +286,12 @@
 		}
 	}
 
-	/** Requests a second that this VM may send to one cold target. */
-	#coldLimit(target: string): number {
-		const {bounds, vm, vms} = this.#options;
-		const total = Math.floor((this.#service.coldPerS * bounds.coldFactor) + bounds.coldSlack);
-		const names = vms();
-		if (names.length <= total) {
-			return Math.floor(total / names.length);
-		}
-
-		const own = hash32(`${target}|${vm}`);
-		const before = names.filter(name => name !== vm && hash32(`${target}|${name}`) > own).length;
-		return before < total ? 1 : 0;
-	}
-
 	#context(nowMs: number): ChoiceContext {
-		const {dataCentre, fleet, vms, random} = this.#options;
-		const vmCount = vms().length;
-		const {isWhole} = planExchange(vmCount - 1);
+		const {dataCentre, fleet, random, bounds, vm} = this.#options;
+		const vms = this.#options.vms();
+		const {coldPerS} = this.#service;
+		const {isWhole} = planExchange(vms.length - 1);
+		const {newTokens, heldTokens} = this.#sent.averages();
 		const targets = this.targets().filter(({record, isMisdirected}) => !record.isDraining && !isMisdirected && !this.#out.has(record.dataCentre));
 		const homes = targets.filter(target => !target.isCold(nowMs));
 		if (homes.length !== this.#homes.length || homes.some((home, index) => home !== this.#homes[index])) {
@@ -325,13 +307,15 @@
 			homesOfPrompt: this.#homesOfPrompt,
 			prompts: this.#prompts,
 			fleet,
-			hearsFleet: isWhole && fleet.heard + 1 >= vmCount,
+			hearsFleet: isWhole && fleet.heard + 1 >= vms.length,
 			isSampled: !isWhole,
 			random,
 			tokensPerMs: this.#readRate.tokensPerMs(),
-			averageNewTokens: this.#averageNewTokens,
-			averageHeldTokens: this.#averageHeldTokens,
-			hasColdRoom: target => this.#service.coldPerS === 0 || !target.isCold(nowMs) || target.hasColdRoom(this.#coldLimit(target.record.id), nowMs),
+			averageNewTokens: newTokens,
+			averageHeldTokens: heldTokens,
+			hasColdRoom: target => coldPerS === 0 || !target.isCold(nowMs) || target.hasColdRoom(coldLimit(target.record.id, {
+				bounds, coldPerS, vm, vms,
+			}), nowMs),
 			nowMs,
 		};
 	}
@@ -386,9 +370,7 @@
 		if (prompt) {
 			const sent = {target: target.record.id, keys, newTokens: newTokens + prompt.outputTokens};
 			this.#prompts.noteSent(sent, nowMs);
-			this.#sent.push(sent);
-			this.#averageNewTokens += (newTokens - this.#averageNewTokens) * AVERAGE_WEIGHT;
-			this.#averageHeldTokens += (prompt.tokens + prompt.outputTokens - this.#averageHeldTokens) * AVERAGE_WEIGHT;
+			this.#sent.note(sent, prompt, newTokens);
 		}
 
 		this.#shares.noteStarted(ask.team, costOf(ask), nowMs);
