Read observed loads only where they are reported; one source for three tests

Every report of a small fleet collected what targets had said and dropped it; only the sampled reports of large fleets need it. The three tests of the fleet source set it up alike. What is reported and every assertion stay as they were.

--- a/src/runtime/routing/load-exchange.ts
+++ b/src/runtime/routing/load-exchange.ts
@@ -72,13 +72,12 @@
 	/** What all of a small fleet need to hear, or a sample of a large one. */
 	const contents = (isWhole: boolean) => {
 		const prompts = takeSentPrompts();
-		const observed = takeObserved();
 		return isWhole
 			? {
 				targets: targets().map(load => ({...load, readingTokens: Math.round(load.readingTokens), heldTokens: Math.round(load.heldTokens)})),
 				prompts: prompts.map(({target, keys, newTokens}) => ({target, keys: [...keys], newTokens: Math.round(newTokens)})),
 			}
-			: {observed: observed.map(load => ({...load, ageMs: Math.round(load.ageMs)}))};
+			: {observed: takeObserved().map(load => ({...load, ageMs: Math.round(load.ageMs)}))};
 	};
 
 	const send = (): void => {
--- a/test/platform/fleet-source.test.ts
+++ b/test/platform/fleet-source.test.ts
@@ -4,20 +4,27 @@
 import {createStoreClient} from '../../platform/store-client.js';
 import {type FleetNews} from '../../src/core/routing/types.js';
 import {createMetrics} from '../../src/runtime/observe/metrics.js';
-import {startWorksStore} from '../../standins/works/works-store.js';
+import {startWorksStore, type WorksStore} from '../../standins/works/works-store.js';
 import {silentLog} from '../../src/runtime/observe/log.js';
 import {monotonicClock} from '../../src/runtime/monotonic-clock.js';
 import {until} from './_platform.js';
 
+const sourceOf = (store: WorksStore) => createFleetSource({
+	client: createStoreClient({address: store.address, clock: monotonicClock, metrics: createMetrics()}),
+	vm: 'edge-1',
+	exchange: '127.0.0.1:2',
+	clock: monotonicClock,
+	log: silentLog,
+	drainMs: 2000,
+});
+
 test('a target that came by a change and left while history was lost is told as gone', async t => {
 	const store = await startWorksStore();
 	const entry = (address: string) => ({
 		service: 'tariff', address, zone: 'dc-a', version: 'v1', slots: 8, state: 'ready', cold_remaining_ms: 0, sequence: 1, born: 1000,
 	});
 	store.put('servers', 'stays', entry('127.0.0.1:1'));
-	const source = createFleetSource({
-		client: createStoreClient({address: store.address, clock: monotonicClock, metrics: createMetrics()}), vm: 'edge-1', exchange: '127.0.0.1:2', clock: monotonicClock, log: silentLog, drainMs: 2000,
-	});
+	const source = sourceOf(store);
 	const news: FleetNews[] = [];
 	source.start(item => {
 		news.push(item);
@@ -38,9 +45,7 @@
 
 test('a table that does not change takes no call before its wait is over', async t => {
 	const store = await startWorksStore();
-	const source = createFleetSource({
-		client: createStoreClient({address: store.address, clock: monotonicClock, metrics: createMetrics()}), vm: 'edge-1', exchange: '127.0.0.1:2', clock: monotonicClock, log: silentLog, drainMs: 2000,
-	});
+	const source = sourceOf(store);
 	let isRead = false;
 	source.start(({kind}) => {
 		isRead ||= kind === 'all-targets';
@@ -61,9 +66,7 @@
 test('a store that turns a VM away is asked less and less often', async t => {
 	const store = await startWorksStore();
 	store.setMood('unavailable');
-	const source = createFleetSource({
-		client: createStoreClient({address: store.address, clock: monotonicClock, metrics: createMetrics()}), vm: 'edge-1', exchange: '127.0.0.1:2', clock: monotonicClock, log: silentLog, drainMs: 2000,
-	});
+	const source = sourceOf(store);
 	const news: FleetNews[] = [];
 	source.start(item => {
 		news.push(item);
