Take every bound as the platform renders it

Ruled out: a fault of the renderer (the users' page promises fractions).

The test failed before: 'a bound that is a fraction does not stop the start'.

--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -94,15 +94,18 @@
 const fraction = (description: string, max: number) =>
 	z.number().min(0).max(max).meta({description, allowed: `a number from 0 to ${max}`});
 
+const duration = (description: string, min: number) =>
+	z.number().min(min).max(MAX_TIME_MS).meta({description, allowed: `a number of milliseconds from ${min} to ${MAX_TIME_MS}`});
+
 const bounds = z.strictObject({
 	cold_factor: fraction('Multiple of its stated rate that a cold target survives.', 100).default(1),
-	cold_slack: integer('Requests beyond that multiple which a cold target survives in one second.', 0, 100_000).default(0),
+	cold_slack: fraction('Requests beyond that multiple which a cold target survives in one second.', 100_000).default(0),
 	retry_ratio: fraction('Repeats allowed for each request to a service, over the whole fleet.', 10).default(0.1),
 	retry_window_s: fraction('Length of the sliding window in which repeats are counted, in seconds.', 600).default(10),
-	retry_slack: integer('Repeats allowed in that window beyond the ratio, over the whole fleet.', 0, 100_000).default(20),
+	retry_slack: fraction('Repeats allowed in that window beyond the ratio, over the whole fleet.', 100_000).default(20),
 	grace_s: fraction('Time from a stop signal to the end of the process, in seconds.', 600).default(10),
-	drain_ms: integer('Time after a target has announced that it leaves within which it must get nothing more.', 100, MAX_TIME_MS).default(2000),
-	heartbeat_ms: integer('Time between heartbeats of a target.', 10, MAX_TIME_MS).default(1000),
+	drain_ms: duration('Time after a target has announced that it leaves within which it must get nothing more.', 100).default(2000),
+	heartbeat_ms: duration('Time between heartbeats of a target.', 10).default(1000),
 }).meta({description: 'Bounds that the deployment promises over all VMs together.'});
 
 /** Schema of the file, in the spelling of the file. */
--- a/test/settings/parse-settings.test.ts
+++ b/test/settings/parse-settings.test.ts
@@ -70,3 +70,13 @@
 		}), {seed: 20, numRuns: 2000});
 	});
 });
+
+test('a bound that is a fraction does not stop the start', t => {
+	const bounds = {
+		cold_factor: 1.5, cold_slack: 2.5, retry_ratio: 0.2, retry_window_s: 9.5, retry_slack: 35.833_333_333_333_336, grace_s: 7.5, drain_ms: 1999.5, heartbeat_ms: 1200.25,
+	};
+	const text = Object.entries(bounds).map(([name, value]) => `${name} = ${value}`).join('\n');
+	const {settings, faults} = parseSettings(`${MINIMAL}\n[bounds]\n${text}\n`, 'router.toml');
+	t.is(faults, undefined);
+	t.is(settings?.bounds.retrySlack, bounds.retry_slack);
+});
