--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -59,7 +59,11 @@
 	/** The first token has arrived: the prompt has been read. */
 	| {readonly kind: 'first-token'}
 	/** The target says that it is another process than the one asked for. */
-	| {readonly kind: 'misdirected'};
+	| {readonly kind: 'misdirected'}
+	/** The target says that it leaves. */
+	| {readonly kind: 'leaving'}
+	/** The target wants nothing from this VM for a time. */
+	| {readonly kind: 'held-off'; readonly forMs: number};
 
 /** The right to start one request at one target. */
 export type Grant = {
--- /dev/null
+++ b/src/core/news/news-follower.ts
@@ -0,0 +1,190 @@
+/**
+ * Follows one table of the platform's store: read whole once, then by calls that wait for
+ * changes. In a large fleet most calls wait long, since each costs the store the same and
+ * few bring anything. A connection that fell silent would then go unnoticed, so VMs tell
+ * each other the version of the last change that they know: a VM that hears of a newer one
+ * and whose own call brings nothing gives the call up and asks anew.
+ *
+ * Nothing that another VM says is taken for a change; it only makes a VM ask. A version
+ * that the store does not confirm is forgotten, so false word costs one call a second.
+ */
+import {type FollowEffect, type FollowMessage} from './types.js';
+
+/** Milliseconds for which a call may bring a change later than the word of other VMs. */
+const BEHIND_MS = 250;
+/** Milliseconds between calls that are given up because of word from other VMs. */
+const DROP_EVERY_MS = 1000;
+/** Milliseconds before a failed call is made again, doubled with each failure in a row up to the most: a store that is back is heard well within the time of contact. */
+const RETRY_MS = 250;
+const MAX_RETRY_MS = 1000;
+
+/**
+ * Milliseconds that a short call waits. A connection or a store that fell silent is noticed
+ * after this and the timeout of a call: within the time of contact, and before entries of
+ * targets lapse because the store is away.
+ */
+const SHORT_WAIT_MS = 2500;
+/** Milliseconds of the other calls, a little less than what the store allows. */
+const LONG_WAIT_MS = 28_000;
+/**
+ * VMs whose calls are short, on average. Which ones they are is drawn anew by each VM as
+ * often as a long call ends, whatever its calls did meanwhile, so that their number holds;
+ * that there is none has a chance of one in 100,000.
+ */
+const SHORT_CALLERS = 12;
+
+export type NewsFollowerOptions = {
+	/** Milliseconds from a change to the next call. */
+	readonly pauseMs: number;
+	/** VMs of the fleet, as now known. */
+	readonly vms: () => number;
+	/** Uniform in [0, 1). */
+	readonly random: () => number;
+};
+
+export class NewsFollower {
+	readonly #options: NewsFollowerOptions;
+	/** All changes up to it are known; undefined before the table was read. */
+	#covered: number | undefined;
+	#changedAt = 0;
+	/** Number of the call that is under way; calls count from 1. */
+	#open: number | undefined;
+	#calls = 0;
+	#failures = 0;
+	#nextCallMs = -Infinity;
+	#behindSinceMs: number | undefined;
+	#droppedMs = -Infinity;
+	/** Decides whether calls are short until it is drawn again. */
+	#role = {draw: 0, untilMs: -Infinity};
+
+	constructor(options: NewsFollowerOptions) {
+		this.#options = options;
+	}
+
+	/** Version of the last change that is known. */
+	get changedAt(): number {
+		return this.#changedAt;
+	}
+
+	/** Version up to which all changes are known. */
+	get covered(): number | undefined {
+		return this.#covered;
+	}
+
+	handle(message: FollowMessage, nowMs: number): readonly FollowEffect[] {
+		switch (message.kind) {
+			case 'start': {
+				return this.#call(nowMs);
+			}
+
+			case 'read':
+			case 'changes': {
+				return message.call === this.#open ? this.#onAnswer(message, nowMs) : [];
+			}
+
+			case 'history-lost': {
+				if (message.call !== this.#open) {
+					return [];
+				}
+
+				this.#covered = undefined;
+				return this.#endCall(nowMs, 0);
+			}
+
+			case 'failed': {
+				if (message.call !== this.#open) {
+					return [];
+				}
+
+				const pauseMs = Math.min(MAX_RETRY_MS, RETRY_MS * (2 ** this.#failures));
+				this.#failures++;
+				return this.#endCall(nowMs, pauseMs);
+			}
+
+			case 'heard': {
+				return this.#onHeard(message.version, nowMs);
+			}
+
+			case 'tick': {
+				return this.#onTick(nowMs);
+			}
+		}
+	}
+
+	/** Whether an answer that is under way still counts. */
+	isOpen(call: number): boolean {
+		return call === this.#open;
+	}
+
+	#onAnswer(message: Extract<FollowMessage, {kind: 'read' | 'changes'}>, nowMs: number): readonly FollowEffect[] {
+		this.#failures = 0;
+		this.#covered = Math.max(this.#covered ?? 0, message.version);
+		const changedAt = message.kind === 'changes' ? message.changedAt : undefined;
+		this.#changedAt = Math.max(this.#changedAt, changedAt ?? 0);
+		// The store's own version is newer than any change: word of one beyond it was false.
+		this.#behindSinceMs = undefined;
+		return this.#endCall(nowMs, changedAt === undefined ? 0 : this.#options.pauseMs);
+	}
+
+	#onHeard(version: number, nowMs: number): readonly FollowEffect[] {
+		if (this.#covered === undefined || version <= this.#covered) {
+			return [];
+		}
+
+		const isFirst = this.#behindSinceMs === undefined;
+		this.#behindSinceMs ??= nowMs;
+		// Each word of it looks again: a call that was made since may have fallen silent too.
+		return isFirst ? [{kind: 'wake', atMs: this.#dropMs()}] : this.#dropIfDue(nowMs);
+	}
+
+	/** A tick may come a little early or for nothing. */
+	#onTick(nowMs: number): readonly FollowEffect[] {
+		if (this.#open === undefined) {
+			return nowMs >= this.#nextCallMs ? this.#call(nowMs) : [{kind: 'wake', atMs: this.#nextCallMs}];
+		}
+
+		return this.#dropIfDue(nowMs);
+	}
+
+	/** Reading of the clock at which a call that brings nothing is given up. */
+	#dropMs(): number {
+		return Math.max((this.#behindSinceMs ?? Infinity) + BEHIND_MS, this.#droppedMs + DROP_EVERY_MS);
+	}
+
+	#dropIfDue(nowMs: number): readonly FollowEffect[] {
+		if (this.#open === undefined || nowMs < this.#dropMs()) {
+			return [];
+		}
+
+		const dropped = this.#open;
+		this.#droppedMs = nowMs;
+		this.#behindSinceMs = nowMs;
+		return [{kind: 'drop', call: dropped}, ...this.#call(nowMs)];
+	}
+
+	#endCall(nowMs: number, pauseMs: number): readonly FollowEffect[] {
+		this.#open = undefined;
+		this.#nextCallMs = nowMs + pauseMs;
+		return pauseMs === 0 ? this.#call(nowMs) : [{kind: 'wake', atMs: this.#nextCallMs}];
+	}
+
+	#waitMs(nowMs: number): number {
+		const {vms, random} = this.#options;
+		if (nowMs >= this.#role.untilMs) {
+			this.#role = {draw: random(), untilMs: nowMs + (LONG_WAIT_MS * (0.5 + random()))};
+		}
+
+		return this.#role.draw * vms() < SHORT_CALLERS ? SHORT_WAIT_MS : LONG_WAIT_MS;
+	}
+
+	#call(nowMs: number): readonly FollowEffect[] {
+		this.#calls++;
+		this.#open = this.#calls;
+		this.#nextCallMs = nowMs;
+		return this.#covered === undefined
+			? [{kind: 'read', call: this.#open}]
+			: [{
+				kind: 'wait', call: this.#open, afterVersion: this.#covered, waitMs: this.#waitMs(nowMs),
+			}];
+	}
+}
--- /dev/null
+++ b/src/core/news/types.ts
@@ -0,0 +1,30 @@
+/** What VMs tell each other of how new their knowledge of the platform's tables is. */
+
+/** Versions only grow; a table's is that of its last known change. */
+export type NewsWord = {
+	readonly versions: ReadonlyMap<string, number>;
+	/** Whether the sender can't reach the store. */
+	readonly isLost: boolean;
+};
+
+export type FollowMessage =
+	| {readonly kind: 'start'}
+	/** The whole table was read, as of a version. */
+	| {readonly kind: 'read'; readonly call: number; readonly version: number}
+	/** All changes up to a version were told; `changedAt` is the version of the last of them, if there were any. */
+	| {readonly kind: 'changes'; readonly call: number; readonly version: number; readonly changedAt: number | undefined}
+	| {readonly kind: 'history-lost'; readonly call: number}
+	| {readonly kind: 'failed'; readonly call: number}
+	/** Another VM knows of a change. */
+	| {readonly kind: 'heard'; readonly version: number}
+	| {readonly kind: 'tick'};
+
+export type FollowEffect =
+	/** Reads the whole table. */
+	| {readonly kind: 'read'; readonly call: number}
+	/** Asks for changes after a version, waiting for the first. */
+	| {readonly kind: 'wait'; readonly call: number; readonly afterVersion: number; readonly waitMs: number}
+	/** Gives a call up together with its connection; its answer no longer counts. */
+	| {readonly kind: 'drop'; readonly call: number}
+	/** Asks for a `tick` at a reading of the clock. */
+	| {readonly kind: 'wake'; readonly atMs: number};
--- a/src/core/placement/messages.ts
+++ b/src/core/placement/messages.ts
@@ -3,6 +3,7 @@
 import {type RoutedService, type TargetRecord} from '../routing/types.js';
 import {type LoadWord} from './placed-target.js';
 import {type SentPrompt} from './prompt-record.js';
+import {type LastDecline, type Outgoing, type PeerMessage} from './reservations.js';
 import {type Closed} from './target-choice.js';
 import {type PlacedAsk} from './types.js';
 
@@ -12,6 +13,9 @@
 	readonly ageMs: number;
 };
 
+/** A run of a target that leaves, as its answers say. */
+export type LeavingTarget = {readonly target: string; readonly bornMs: number};
+
 export type PlacementMessage =
 	| {readonly kind: 'service'; readonly service: RoutedService}
 	| {readonly kind: 'target'; readonly target: TargetRecord}
@@ -27,13 +31,19 @@
 	| {readonly kind: 'sent-elsewhere'; readonly sent: SentPrompt}
 	/** What targets said of their load to another VM. */
 	| {readonly kind: 'observed-elsewhere'; readonly loads: readonly ObservedLoad[]}
+	/** A target's answers to another VM say that it leaves. */
+	| {readonly kind: 'leaving-elsewhere'; readonly leaving: LeavingTarget}
 	/** All connections to a target broke, or none could be opened. */
 	| {readonly kind: 'unreachable'; readonly target: string}
+	/** What another VM says of reservations. */
+	| {readonly kind: 'peer'; readonly from: string; readonly message: PeerMessage}
 	| {readonly kind: 'tick'};
 
 export type PlacementEffect =
+	/** Goes to another VM as soon as possible; it may be lost. */
+	| ({readonly kind: 'tell-peer'} & Outgoing)
 	| {readonly kind: 'grant'; readonly ask: PlacedAsk; readonly grantId: string; readonly target: TargetRecord; readonly because: PlacementReason}
-	| {readonly kind: 'reject'; readonly ask: PlacedAsk; readonly reason: 'no-target' | 'too-late'; readonly retryAfterMs: number; readonly givesWay: boolean; readonly closed?: Closed};
+	| {readonly kind: 'reject'; readonly ask: PlacedAsk; readonly reason: 'no-target' | 'too-late'; readonly retryAfterMs: number; readonly givesWay: boolean; readonly closed?: Closed; readonly lastDecline?: LastDecline | undefined};
 
 /** The inputs that decided a placement, for the log. */
 export type PlacementReason = {
--- a/src/core/placement/placed-target.ts
+++ b/src/core/placement/placed-target.ts
@@ -45,6 +45,10 @@
 	record: TargetRecord;
 	/** Addresses are reused: true while this one answers for another process. */
 	isMisdirected = false;
+	/** Whether its answers say that it leaves, or those to another VM; until its next run. */
+	#leavingSinceMs: number | undefined;
+	/** Until then it wants nothing from this VM. */
+	#heldOffUntilMs = -Infinity;
 	readonly #placed = new Map<string, Placed>();
 	readonly #started: SlidingCount = createSlidingCount(COLD_WINDOW_MS);
 	#coldUntilMs: number;
@@ -99,6 +103,8 @@
 		this.record = record;
 		if (restarted) {
 			this.isMisdirected = false;
+			this.#leavingSinceMs = undefined;
+			this.#heldOffUntilMs = -Infinity;
 			this.#doubt = undefined;
 			this.#passOverUntilMs = nowMs;
 			this.#failuresInRow = 0;
@@ -113,6 +119,28 @@
 		return restarted;
 	}
 
+	get isLeaving(): boolean {
+		return this.#leavingSinceMs !== undefined;
+	}
+
+	/** Whether its answers began to say so less than `forMs` ago. */
+	hasBegunToLeave(forMs: number, nowMs: number): boolean {
+		return this.#leavingSinceMs !== undefined && nowMs < this.#leavingSinceMs + forMs;
+	}
+
+	noteLeaving(nowMs: number): void {
+		this.#leavingSinceMs ??= nowMs;
+	}
+
+	/** Milliseconds for which it still wants nothing from this VM; 0 when it takes requests. */
+	heldOffMs(nowMs: number): number {
+		return Math.max(0, this.#heldOffUntilMs - nowMs);
+	}
+
+	noteHeldOff(forMs: number, nowMs: number): void {
+		this.#heldOffUntilMs = Math.max(this.#heldOffUntilMs, nowMs + forMs);
+	}
+
 	isCold(nowMs: number): boolean {
 		return this.#doubt !== undefined || nowMs < this.#coldUntilMs;
 	}
--- /dev/null
+++ b/src/core/placement/reservations.ts
@@ -0,0 +1,280 @@
+/**
+ * Reservations at model engines of a large fleet, as one VM makes and grants them. Before a
+ * prompt is sent, the VM that owns the engine's ledger is asked; a VM that does not answer
+ * in time is passed over, and the request is placed on what is known here.
+ */
+import {type RoutedService} from '../routing/types.js';
+import {type PlacedTarget} from './placed-target.js';
+import {type Candidate} from './target-choice.js';
+import {TargetLedger, type ReservationAnswer, type ReservationWish} from './target-ledger.js';
+import {createTargetOwners, type TargetOwners} from './target-owners.js';
+import {type PlacedAsk} from './types.js';
+
+/** Milliseconds within which an owner answers: some turns of its event loop and the way. */
+const ANSWER_MS = 40;
+/** Engines that are asked for one request in a row before it waits. */
+const MAX_TRIES = 4;
+/** Milliseconds for which a request waits after it was declined everywhere. */
+const PAUSE_MS = 25;
+/** Milliseconds for which a home is taken to keep what its owner told of. */
+const COPYABLE_MS = 10_000;
+/** Prompts of which it is remembered what their home keeps. */
+const MAX_KNOWN_PROMPTS = 1000;
+
+/** What VMs tell each other of reservations. */
+export type PeerMessage =
+	| {readonly kind: 'request'; readonly wish: ReservationWish}
+	| {readonly kind: 'answer'; readonly id: string; readonly answer: ReservationAnswer}
+	| {readonly kind: 'progress'; readonly id: string; readonly target: string; readonly hasEnded: boolean};
+
+export type Outgoing = {readonly vm: string; readonly message: PeerMessage};
+
+/** A request whose reservation has not been answered. */
+type Pending = {
+	readonly ask: PlacedAsk;
+	readonly candidate: Candidate;
+	readonly owner: string;
+	readonly askedMs: number;
+};
+
+/** What became of a wish for room. */
+export type ReserveResult =
+	| {readonly kind: 'granted'; readonly candidate: Candidate}
+	| {readonly kind: 'declined'}
+	| {readonly kind: 'asked'; readonly outgoing: Outgoing}
+	/** No owner is in reach. */
+	| {readonly kind: 'unowned'};
+
+type Closed = {readonly untilMs: number; readonly newTokens: number; readonly givesWay: boolean};
+
+/** What the last owner that declined a request said, for the log. */
+export type LastDecline = Omit<ReservationAnswer, 'isGranted'> & {readonly newTokens: number};
+
+export type ReservationsOptions = {
+	readonly vm: string;
+	readonly vms: () => readonly string[];
+	readonly service: () => RoutedService;
+	readonly targetOf: (id: string) => PlacedTarget | undefined;
+	/** Rate at which engines read, as known here. */
+	readonly tokensPerMs: () => number;
+};
+
+export class Reservations {
+	readonly #options: ReservationsOptions;
+	readonly #owners: TargetOwners;
+	readonly #ledgers = new Map<string, TargetLedger>();
+	readonly #pending = new Map<string, Pending>();
+	/** Owners of granted reservations, by grant. */
+	readonly #ownersOfGrants = new Map<string, {readonly owner: string; readonly target: string}>();
+	readonly #closed = new Map<string, Closed>();
+	/** Tries in a row and the end of the pause, by request. */
+	readonly #tries = new Map<string, {readonly count: number; readonly notBeforeMs: number; readonly last: LastDecline}>();
+	/** Leading tokens that the home of a prompt can pass on, by the last of its `sharedKeys`. */
+	readonly #copyable = new Map<number, {readonly tokens: number; readonly atMs: number}>();
+
+	constructor(options: ReservationsOptions) {
+		this.#options = options;
+		this.#owners = createTargetOwners(options.vms);
+	}
+
+	/** Whether requests wait for an answer. */
+	get isWaiting(): boolean {
+		return this.#pending.size > 0;
+	}
+
+	/** Whether a target declined a request like this one a moment ago. */
+	isClosed(target: string, {newTokens, givesWay}: {readonly newTokens: number; readonly givesWay: boolean}, nowMs: number): boolean {
+		const closed = this.#closed.get(target);
+		return closed !== undefined && nowMs < closed.untilMs && newTokens >= closed.newTokens && (givesWay || !closed.givesWay);
+	}
+
+	/** Whether a request was declined everywhere a moment ago. */
+	isPaused({requestId}: PlacedAsk, nowMs: number): boolean {
+		return nowMs < (this.#tries.get(requestId)?.notBeforeMs ?? -Infinity);
+	}
+
+	/** What the last owner that declined a request said; the request is forgotten. */
+	takeLastDecline(requestId: string): LastDecline | undefined {
+		const last = this.#tries.get(requestId)?.last;
+		this.#tries.delete(requestId);
+		return last;
+	}
+
+	/** Tokens of a prompt that its home can pass on; none unless its owner told lately. */
+	copyableOf(keys: readonly number[], nowMs: number): number {
+		const known = this.#copyable.get(keys.at(-1) ?? Number.NaN);
+		return known && known.atMs > nowMs - COPYABLE_MS ? known.tokens : 0;
+	}
+
+	/** Asks for room; `id` is that of the grant to come. */
+	reserve(id: string, ask: PlacedAsk, candidate: Candidate, nowMs: number): ReserveResult {
+		const {target} = candidate;
+		const owner = this.#owners.ownerOf(target.record.id, nowMs);
+		if (owner === undefined || !ask.prompt) {
+			return {kind: 'unowned'};
+		}
+
+		const wish = this.#wishOf(id, {...ask, prompt: ask.prompt}, candidate, nowMs);
+		if (owner !== this.#options.vm) {
+			this.#pending.set(id, {
+				ask, candidate, owner, askedMs: nowMs,
+			});
+			return {kind: 'asked', outgoing: {vm: owner, message: {kind: 'request', wish}}};
+		}
+
+		const answer = this.#answer(wish, nowMs);
+		return this.#take(id, {
+			ask, candidate, owner, askedMs: nowMs,
+		}, answer, nowMs);
+	}
+
+	/** Takes in an owner's answer. Room that nobody waits for any more is given back. */
+	onAnswer(from: string, {id, answer}: Extract<PeerMessage, {kind: 'answer'}>, nowMs: number): {readonly ask: PlacedAsk; readonly result: ReserveResult} | Outgoing | undefined {
+		this.#owners.noteHeard(from);
+		const pending = this.#pending.get(id);
+		if (!pending) {
+			return answer.isGranted
+				? {
+					vm: from, message: {
+						kind: 'progress', id, target: answer.target, hasEnded: true,
+					},
+				}
+				: undefined;
+		}
+
+		this.#pending.delete(id);
+		return {ask: pending.ask, result: this.#take(id, pending, answer, nowMs)};
+	}
+
+	/** Answers another VM's wish as the owner. */
+	onRequest(from: string, wish: ReservationWish, nowMs: number): Outgoing | undefined {
+		return this.#options.targetOf(wish.target)
+			? {vm: from, message: {kind: 'answer', id: wish.id, answer: this.#answer(wish, nowMs)}}
+			: undefined;
+	}
+
+	onProgress({id, target, hasEnded}: Extract<PeerMessage, {kind: 'progress'}>, nowMs: number): void {
+		const ledger = this.#ledgers.get(target);
+		if (hasEnded) {
+			ledger?.noteEnded(id);
+		} else {
+			ledger?.noteStarted(id, nowMs);
+		}
+	}
+
+	/** Takes out the requests whose owners did not answer in time. */
+	takeOverdue(nowMs: number): ReadonlyArray<Pending & {readonly id: string}> {
+		const overdue = [...this.#pending].filter(([, {askedMs}]) => nowMs >= askedMs + ANSWER_MS).map(([id, pending]) => ({...pending, id}));
+		for (const {id, owner} of overdue) {
+			this.#pending.delete(id);
+			this.#owners.noteSilent(owner, nowMs);
+		}
+
+		return overdue;
+	}
+
+	/** Notes that a request is no longer waited for; returns what owners have to hear. */
+	withdraw(requestId: string): readonly Outgoing[] {
+		this.#tries.delete(requestId);
+		return [...this.#pending].filter(([, {ask}]) => ask.requestId === requestId).map(([id, {owner, candidate}]) => {
+			this.#pending.delete(id);
+			return {
+				vm: owner, message: {
+					kind: 'progress', id, target: candidate.target.record.id, hasEnded: true,
+				},
+			};
+		});
+	}
+
+	/** The first token of a grant came, or it ended. */
+	noteProgress(grantId: string, hasEnded: boolean, nowMs: number): readonly Outgoing[] {
+		const reserved = this.#ownersOfGrants.get(grantId);
+		if (!reserved) {
+			return [];
+		}
+
+		if (hasEnded) {
+			this.#ownersOfGrants.delete(grantId);
+		}
+
+		const message = {
+			kind: 'progress', id: grantId, target: reserved.target, hasEnded,
+		} as const;
+		if (reserved.owner !== this.#options.vm) {
+			return [{vm: reserved.owner, message}];
+		}
+
+		this.onProgress(message, nowMs);
+		return [];
+	}
+
+	/** Forgets a target that is gone or lost its memory. */
+	forget(target: string): void {
+		this.#ledgers.delete(target);
+		this.#closed.delete(target);
+	}
+
+	#wishOf(id: string, ask: PlacedAsk & {readonly prompt: NonNullable<PlacedAsk['prompt']>}, {target, keys, copiedTokens, reason}: Candidate, nowMs: number): ReservationWish {
+		const {prompt, targetLatencyMs, arrivedMs, isResumed} = ask;
+		return {
+			id, target: target.record.id, prompt, keys, copiedTokens, targetLatencyMs, waitedMs: nowMs - arrivedMs, givesWay: reason.givesWay, isResumed,
+		};
+	}
+
+	#answer(wish: ReservationWish, nowMs: number): ReservationAnswer {
+		const {service, targetOf, tokensPerMs} = this.#options;
+		const target = targetOf(wish.target);
+		const ledger = this.#ledgers.get(wish.target)
+			?? new TargetLedger(wish.target, {capacityTokens: () => service().engine?.kvCapacityTokens ?? 0, tokensPerMs: tokensPerMs(), nowMs});
+		this.#ledgers.set(wish.target, ledger);
+		return ledger.reserve(wish, {
+			service: service(), slots: target?.record.slots ?? 0, observedRunning: target ? target.running + target.othersRunning(nowMs) : 0, nowMs,
+		});
+	}
+
+	#take(id: string, {ask, candidate, owner}: Pending, answer: ReservationAnswer, nowMs: number): ReserveResult {
+		const {target, keys, newTokens} = candidate;
+		if (candidate.isHome) {
+			this.#noteCopyable(keys, answer.keptTokens, nowMs);
+		}
+
+		if (answer.isGranted) {
+			this.#tries.delete(ask.requestId);
+			this.#ownersOfGrants.set(id, {owner, target: target.record.id});
+			return {kind: 'granted', candidate: withKept(candidate, answer)};
+		}
+
+		this.#closed.set(target.record.id, {untilMs: nowMs + answer.retryAfterMs, newTokens, givesWay: candidate.reason.givesWay});
+		const count = (this.#tries.get(ask.requestId)?.count ?? 0) + 1;
+		const last = {...answer, newTokens};
+		this.#tries.set(ask.requestId, count < MAX_TRIES ? {count, notBeforeMs: nowMs, last} : {count: 0, notBeforeMs: nowMs + PAUSE_MS, last});
+		return {kind: 'declined'};
+	}
+
+	#noteCopyable(keys: readonly number[], tokens: number, nowMs: number): void {
+		const key = keys.at(-1);
+		if (key === undefined) {
+			return;
+		}
+
+		this.#copyable.delete(key);
+		this.#copyable.set(key, {tokens, atMs: nowMs});
+		if (this.#copyable.size > MAX_KNOWN_PROMPTS) {
+			const [oldest] = this.#copyable.keys();
+			this.#copyable.delete(oldest ?? key);
+		}
+	}
+}
+
+/** A candidate with what the owner knows in place of what was assumed. */
+const withKept = (candidate: Candidate, {keptTokens, predictedMs, running}: ReservationAnswer): Candidate => {
+	const needsCopy = candidate.copiedTokens > keptTokens;
+	const known = needsCopy ? candidate.copiedTokens : keptTokens;
+	return {
+		...candidate,
+		newTokens: Math.max(0, candidate.promptTokens - known),
+		reason: {
+			...candidate.reason, predictedMs, keptTokens: known, othersRunning: running, copyFrom: needsCopy ? candidate.reason.copyFrom : undefined,
+		},
+	};
+};
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -8,26 +8,34 @@
 import {type FleetLoads, type TargetLoad, type TeamLoad} from './fleet-loads.js';
 import {coldLimit} from './cold-limit.js';
 import {planExchange} from './exchange-plan.js';
-import {type ObservedLoad, type PlacementEffect, type PlacementMessage} from './messages.js';
+import {
+	type LeavingTarget, type ObservedLoad, type PlacementEffect, type PlacementMessage,
+} from './messages.js';
 import {PlacedTarget, type DoubtTimes} from './placed-target.js';
 import {createPromptRecord, type PromptRecord, type SentPrompt} from './prompt-record.js';
 import {createReadRate, type ReadRate} from './read-rate.js';
+import {
+	Reservations, type Outgoing, type PeerMessage, type ReserveResult,
+} from './reservations.js';
 import {createSentPrompts} from './sent-prompts.js';
 import {
-	chooseTarget, hasTargetLeft, whyClosed, type Candidate, type ChoiceContext,
+	chooseTarget, hasTargetLeft, heldOffMs, whyClosed, type Candidate, type ChoiceContext,
 } from './target-choice.js';
 import {TeamQueues} from './team-queues.js';
 import {TeamShares} from './team-shares.js';
 import {type FleetBounds, type PlacedAsk} from './types.js';
 
-/** Part of the target latency for which a request waits before it is refused. */
+/** Part of the target latency for which a request waits before it is refused, and that of a prompt for which room is reserved. */
 const WAIT_SHARE = 0.6;
+const RESERVED_WAIT_SHARE = 0.8;
 /** The same for a request whose caller has part of the answer: the rest is late already, and callers wait longer in mid-answer. */
 const RESUME_WAIT_SHARE = 2;
 /** Asks of one team that are looked at in one round; the first that can start does. */
 const LOOK_AHEAD = 4;
 /** Milliseconds after which a waiting team is reported to the other VMs. */
 const WAITS_AFTER_MS = 60;
+/** Milliseconds for which other VMs are told that a target leaves: some reports of a large fleet. */
+const LEAVING_TOLD_MS = 3000;
 /** Retry-After bounds in milliseconds. */
 const MIN_RETRY_AFTER_MS = 300;
 const MAX_RETRY_AFTER_MS = 2000;
@@ -54,8 +62,12 @@
 const costOf = ({prompt}: PlacedAsk): number => prompt ? prompt.tokens + (2 * prompt.outputTokens) : 1;
 
 /** Reading of the clock at which a request that still waits is refused. */
-const waitEndMs = ({deadlineMs, arrivedMs, targetLatencyMs, isResumed}: PlacedAsk): number =>
-	Math.min(deadlineMs, arrivedMs + (targetLatencyMs * (isResumed ? RESUME_WAIT_SHARE : WAIT_SHARE)));
+const waitEndMs = ({deadlineMs, arrivedMs, targetLatencyMs, isResumed}: PlacedAsk, isReserved: boolean): number => {
+	const share = isReserved ? RESERVED_WAIT_SHARE : WAIT_SHARE;
+	return Math.min(deadlineMs, arrivedMs + (targetLatencyMs * (isResumed ? RESUME_WAIT_SHARE : share)));
+};
+
+const toPeers = (outgoing: readonly Outgoing[]): readonly PlacementEffect[] => outgoing.map(({vm, message}) => ({kind: 'tell-peer', vm, message}));
 
 export class ServicePlacement {
 	#service: RoutedService;
@@ -69,6 +81,7 @@
 	#homes: readonly PlacedTarget[] = [];
 	#homesOfPrompt = new Map<number, readonly PlacedTarget[]>();
 	readonly #sent = createSentPrompts();
+	readonly #reservations: Reservations;
 	#observedToldMs = -Infinity;
 
 	constructor(options: ServicePlacementOptions) {
@@ -77,6 +90,9 @@
 		this.#shares = new TeamShares({
 			service: options.service.name, fleet: options.fleet, capacityPerS: () => this.#service.tokensPerS,
 		});
+		this.#reservations = new Reservations({
+			vm: options.vm, vms: options.vms, service: () => this.#service, targetOf: id => this.#targets.get(id), tokensPerMs: () => this.#readRate.tokensPerMs(),
+		});
 	}
 
 	/** Asks that wait. */
@@ -119,6 +135,17 @@
 		});
 	}
 
+	/** Whether a request may still be sent to a target; asked right before its first byte. */
+	isOpen(id: string, nowMs: number): boolean {
+		const target = this.#targets.get(id);
+		return target !== undefined && !target.isLeaving && target.heldOffMs(nowMs) === 0;
+	}
+
+	/** Targets whose answers have begun to say that they leave, for the report to the other VMs. */
+	leavingTargets(nowMs: number): readonly LeavingTarget[] {
+		return this.targets().filter(target => target.hasBegunToLeave(LEAVING_TOLD_MS, nowMs)).map(({record}) => ({target: record.id, bornMs: record.bornMs}));
+	}
+
 	targets(): readonly PlacedTarget[] {
 		return [...this.#targets.values()];
 	}
@@ -142,7 +169,7 @@
 
 			case 'target-gone': {
 				this.#targets.delete(message.id);
-				this.#prompts.forget(message.id);
+				this.#forgetPrompts(message.id);
 				return [];
 			}
 
@@ -157,17 +184,17 @@
 
 			case 'withdraw': {
 				this.#queues.remove(ask => ask.requestId === message.requestId);
-				return [];
+				return toPeers(this.#reservations.withdraw(message.requestId));
 			}
 
 			case 'end': {
 				this.#onEnd(message, nowMs);
-				return [];
+				return toPeers(this.#reservations.noteProgress(message.grantId, true, nowMs));
 			}
 
 			case 'observe': {
 				this.#onObserve(message, nowMs);
-				return [];
+				return message.observation.kind === 'first-token' ? toPeers(this.#reservations.noteProgress(message.grantId, false, nowMs)) : [];
 			}
 
 			case 'sent-elsewhere': {
@@ -186,6 +213,15 @@
 				return [];
 			}
 
+			case 'leaving-elsewhere': {
+				const target = this.#targets.get(message.leaving.target);
+				if (target?.record.bornMs === message.leaving.bornMs) {
+					target.noteLeaving(nowMs);
+				}
+
+				return [];
+			}
+
 			case 'unreachable': {
 				this.#targets.get(message.target)?.noteUnreachable(nowMs);
 				return [];
@@ -199,8 +235,13 @@
 				return [];
 			}
 
+			case 'peer': {
+				return this.#onPeer(message.from, message.message, nowMs);
+			}
+
 			case 'tick': {
-				return this.#queues.isEmpty ? [] : [...this.#expire(nowMs), ...this.#dispatch(nowMs)];
+				const overdue = this.#reservations.isWaiting ? this.#onOverdue(nowMs) : [];
+				return this.#queues.isEmpty ? overdue : [...overdue, ...this.#expire(nowMs), ...this.#dispatch(nowMs)];
 			}
 		}
 	}
@@ -210,7 +251,7 @@
 		if (!known) {
 			this.#targets.set(record.id, new PlacedTarget(record, nowMs));
 		} else if (known.update(record, nowMs)) {
-			this.#prompts.forget(record.id);
+			this.#forgetPrompts(record.id);
 		} else {
 			known.noteEntryRead(this.#doubtTimes, nowMs);
 		}
@@ -225,14 +266,14 @@
 
 		if (!hasTargetLeft(ask, ctx)) {
 			return [{
-				kind: 'reject', ask, reason: 'no-target', retryAfterMs: NO_TARGET_RETRY_AFTER_MS, givesWay: false,
+				kind: 'reject', ask, reason: 'no-target', retryAfterMs: heldOffMs(ask, ctx) ?? NO_TARGET_RETRY_AFTER_MS, givesWay: false,
 			}];
 		}
 
-		if (this.#queues.isEmpty && this.#shares.useOf(ask.team, nowMs) <= this.#shares.useCeiling(nowMs)) {
-			const candidate = chooseTarget(ask, this.#shares.isBeyondShare(ask.team, nowMs), ctx);
-			if (candidate) {
-				return [this.#grant(ask, candidate, nowMs)];
+		if (this.#queues.isEmpty && this.#shares.useOf(ask.team, nowMs) <= this.#useCeiling(nowMs)) {
+			const effects = this.#tryStart(ask, this.#shares.isBeyondShare(ask.team, nowMs), ctx);
+			if (effects) {
+				return effects;
 			}
 		}
 
@@ -240,6 +281,91 @@
 		return [];
 	}
 
+	/** Starts an ask or asks for room for it; undefined when no target takes it now. */
+	#tryStart(ask: PlacedAsk, givesWay: boolean, ctx: ChoiceContext): readonly PlacementEffect[] | undefined {
+		while (!this.#reservations.isPaused(ask, ctx.nowMs)) {
+			const candidate = chooseTarget(ask, givesWay, ctx);
+			if (!candidate) {
+				return undefined;
+			}
+
+			const grantId = this.#options.createGrantId();
+			const result = ctx.isReserved && ask.prompt ? this.#reservations.reserve(grantId, ask, candidate, ctx.nowMs) : undefined;
+			if (!result || (result.kind === 'unowned' && candidate.fits)) {
+				return [this.#grant(grantId, ask, candidate, ctx.nowMs)];
+			}
+
+			if (result.kind === 'granted') {
+				return [this.#grant(grantId, ask, result.candidate, ctx.nowMs)];
+			}
+
+			if (result.kind === 'asked') {
+				return toPeers([result.outgoing]);
+			}
+
+			if (result.kind === 'unowned') {
+				return undefined;
+			}
+		}
+
+		return undefined;
+	}
+
+	#onPeer(from: string, message: PeerMessage, nowMs: number): readonly PlacementEffect[] {
+		switch (message.kind) {
+			case 'request': {
+				const answer = this.#reservations.onRequest(from, message.wish, nowMs);
+				return answer ? toPeers([answer]) : [];
+			}
+
+			case 'progress': {
+				this.#reservations.onProgress(message, nowMs);
+				return [];
+			}
+
+			case 'answer': {
+				const answered = this.#reservations.onAnswer(from, message, nowMs);
+				if (!answered) {
+					return [];
+				}
+
+				return 'ask' in answered ? this.#onAnswered(message.id, answered, nowMs) : toPeers([answered]);
+			}
+		}
+	}
+
+	#onAnswered(grantId: string, {ask, result}: {readonly ask: PlacedAsk; readonly result: ReserveResult}, nowMs: number): readonly PlacementEffect[] {
+		if (result.kind === 'granted') {
+			return [this.#grant(grantId, ask, result.candidate, nowMs)];
+		}
+
+		const effects = this.#tryStart(ask, this.#shares.isBeyondShare(ask.team, nowMs), this.#context(nowMs));
+		if (!effects) {
+			this.#queues.add(ask);
+		}
+
+		return effects ?? [];
+	}
+
+	/** Requests whose owners did not answer are placed by what is known here. */
+	#onOverdue(nowMs: number): readonly PlacementEffect[] {
+		const effects: PlacementEffect[] = [];
+		for (const {id, ask, candidate} of this.#reservations.takeOverdue(nowMs)) {
+			if (candidate.fits && this.#targets.get(candidate.target.record.id) === candidate.target) {
+				effects.push(this.#grant(id, ask, candidate, nowMs));
+			} else {
+				this.#queues.add(ask);
+			}
+		}
+
+		return effects;
+	}
+
+	#forgetPrompts(target: string): void {
+		this.#prompts.forget(target);
+		this.#reservations.forget(target);
+	}
+
 	#onEnd({grantId, target: id, result}: Message<'end'>, nowMs: number): void {
 		const target = this.#targets.get(id);
 		if (!target) {
@@ -247,7 +373,9 @@
 		}
 
 		target.end(grantId);
-		if (result.kind === 'failed' || result.kind === 'overloaded') {
+		// What a target says of the time to come back is no fault of it.
+		const isHeldOff = result.kind === 'overloaded' && target.heldOffMs(nowMs) > 0;
+		if (result.kind === 'failed' || (result.kind === 'overloaded' && !isHeldOff)) {
 			target.noteFailed(nowMs);
 		} else if (result.kind === 'answered') {
 			target.noteAnswered();
@@ -283,16 +411,40 @@
 				target.isMisdirected = true;
 				break;
 			}
+
+			case 'leaving': {
+				target.noteLeaving(nowMs);
+				break;
+			}
+
+			case 'held-off': {
+				target.noteHeldOff(observation.forMs, nowMs);
+				break;
+			}
 		}
 	}
 
+	/** Whether loads are a sample, so that room at model engines is reserved. */
+	#isReserved(): boolean {
+		return this.#service.engine !== undefined && !planExchange(this.#options.vms().length - 1).isWhole;
+	}
+
+	/**
+	 * Use beyond which a team lets others go first. In a large fleet some team always waits
+	 * somewhere for an engine of its own; holding back all others for it leaves the other
+	 * engines idle, and a team beyond its share gives way there already.
+	 */
+	#useCeiling(nowMs: number): number {
+		return this.#isReserved() ? Infinity : this.#shares.useCeiling(nowMs);
+	}
+
 	#context(nowMs: number): ChoiceContext {
 		const {dataCentre, fleet, random, bounds, vm} = this.#options;
 		const vms = this.#options.vms();
 		const {coldPerS} = this.#service;
 		const {isWhole} = planExchange(vms.length - 1);
 		const {newTokens, heldTokens} = this.#sent.averages();
-		const targets = this.targets().filter(({record, isMisdirected}) => !record.isDraining && !isMisdirected && !this.#out.has(record.dataCentre));
+		const targets = this.targets().filter(({record, isMisdirected, isLeaving}) => !record.isDraining && !isLeaving && !isMisdirected && !this.#out.has(record.dataCentre));
 		const homes = targets.filter(target => !target.isCold(nowMs));
 		if (homes.length !== this.#homes.length || homes.some((home, index) => home !== this.#homes[index])) {
 			this.#homes = homes;
@@ -309,6 +461,9 @@
 			fleet,
 			hearsFleet: isWhole && fleet.heard + 1 >= vms.length,
 			isSampled: !isWhole,
+			isReserved: this.#isReserved(),
+			isClosed: (target, wish) => this.#reservations.isClosed(target.record.id, wish, nowMs),
+			copyableOf: keys => this.#reservations.copyableOf(keys, nowMs),
 			random,
 			tokensPerMs: this.#readRate.tokensPerMs(),
 			averageNewTokens: newTokens,
@@ -324,7 +479,7 @@
 	#dispatch(nowMs: number): readonly PlacementEffect[] {
 		const effects: PlacementEffect[] = [];
 		const ctx = this.#context(nowMs);
-		const ceiling = this.#shares.useCeiling(nowMs);
+		const ceiling = this.#useCeiling(nowMs);
 		const uses = new Map([...this.#queues.teams()].map(team => [team, this.#shares.useOf(team, nowMs)]));
 		while (uses.size > 0) {
 			const use = Math.min(...uses.values());
@@ -332,7 +487,7 @@
 			const start = use <= ceiling && this.#firstStart(team, ctx);
 			if (start) {
 				this.#queues.removeOf(team, ask => ask === start.ask);
-				effects.push(this.#grant(start.ask, start.candidate, nowMs));
+				effects.push(...start.effects);
 				uses.set(team, use + costOf(start.ask));
 			}
 
@@ -344,12 +499,12 @@
 		return effects;
 	}
 
-	#firstStart(team: string, ctx: ChoiceContext): {readonly ask: PlacedAsk; readonly candidate: Candidate} | undefined {
+	#firstStart(team: string, ctx: ChoiceContext): {readonly ask: PlacedAsk; readonly effects: readonly PlacementEffect[]} | undefined {
 		const givesWay = this.#shares.isBeyondShare(team, ctx.nowMs);
 		for (const ask of this.#queues.of(team).slice(0, LOOK_AHEAD)) {
-			const candidate = chooseTarget(ask, givesWay, ctx);
-			if (candidate) {
-				return {ask, candidate};
+			const effects = this.#tryStart(ask, givesWay, ctx);
+			if (effects) {
+				return {ask, effects};
 			}
 		}
 
@@ -361,8 +516,7 @@
 		return this.#queues.of(team).some(ask => nowMs - ask.arrivedMs > WAITS_AFTER_MS);
 	}
 
-	#grant(ask: PlacedAsk, {target, keys, newTokens, reason}: Candidate, nowMs: number): PlacementEffect {
-		const grantId = this.#options.createGrantId();
+	#grant(grantId: string, ask: PlacedAsk, {target, keys, newTokens, reason}: Candidate, nowMs: number): PlacementEffect {
 		const {prompt} = ask;
 		target.place(grantId, {
 			newTokens, heldTokens: prompt ? prompt.tokens + prompt.outputTokens : 0, isReading: prompt !== undefined, sentMs: nowMs,
@@ -380,7 +534,8 @@
 	}
 
 	#expire(nowMs: number): readonly PlacementEffect[] {
-		const late = this.#queues.remove(ask => nowMs >= waitEndMs(ask));
+		const isReserved = this.#isReserved();
+		const late = this.#queues.remove(ask => nowMs >= waitEndMs(ask, isReserved && ask.prompt !== undefined));
 		if (late.length === 0) {
 			return [];
 		}
@@ -390,6 +545,7 @@
 			const givesWay = this.#shares.isBeyondShare(ask.team, nowMs);
 			return {
 				kind: 'reject', ask, reason: 'too-late', retryAfterMs: this.#retryAfterMs(), givesWay, closed: whyClosed(ask, givesWay, ctx),
+				lastDecline: this.#reservations.takeLastDecline(ask.requestId),
 			};
 		});
 	}
--- a/src/core/placement/start-limits.ts
+++ b/src/core/placement/start-limits.ts
@@ -1,7 +1,6 @@
 /** Whether a target has room for a request, and can start it in time. */
 import {type RoutedService} from '../routing/types.js';
 import {type Load} from './fleet-loads.js';
-import {type PlacedTarget} from './placed-target.js';
 import {type PlacedAsk} from './types.js';
 
 /** What a request may count on at a target. */
@@ -23,36 +22,50 @@
 const ORDINARY: StartLimits = {startShare: 0.55, slotShare: 0.85, memoryShare: 0.5};
 /** Of requests that give way: about half, so that what comes after them finds room. */
 const YIELDING: StartLimits = {startShare: 0.25, slotShare: 0.5, memoryShare: 0.25};
+/** Of requests that an exact ledger lets in: the rest of the target latency is for the way and the first step alone. */
+const RESERVED: StartLimits = {startShare: 0.7, slotShare: 0.85, memoryShare: 0.5};
+const RESERVED_YIELDING: StartLimits = {startShare: 0.4, slotShare: 0.5, memoryShare: 0.25};
 /** Part of the target latency that others' prompts may take ahead of one that cannot be in time by itself. */
 const LARGE_BACKLOG_SHARE = 0.03;
 /** Requests that a plain target may have for each slot, the rest waiting there. */
 const PLAIN_PER_SLOT = 2;
 
+/** How a request is weighed. */
+export type StartTerms = {
+	/** Whether the request gives way to others. */
+	readonly givesWay: boolean;
+	/** Whether all requests of the target are known, as its ledger knows them. */
+	readonly isExact: boolean;
+};
+
 /** What has begun does not give way: its caller waits in mid-answer. */
-const limitsOf = ({isResumed}: PlacedAsk, givesWay: boolean): StartLimits => givesWay && !isResumed ? YIELDING : ORDINARY;
+const limitsOf = ({isResumed}: Pick<PlacedAsk, 'isResumed'>, {givesWay, isExact}: StartTerms): StartLimits => {
+	if (givesWay && !isResumed) {
+		return isExact ? RESERVED_YIELDING : YIELDING;
+	}
 
-/** A target with the requests that other VMs have there. */
-export type Occupied = {
-	readonly target: PlacedTarget;
-	readonly others: Load;
+	return isExact ? RESERVED : ORDINARY;
 };
 
-type RoomContext = {
-	readonly service: RoutedService;
-	/** Whether the request gives way to others. */
-	readonly givesWay: boolean;
+/** A target with what runs there. */
+export type Occupied = {
+	/** Slots that the target itself tells of. */
+	readonly slots: number;
+	/** Requests of all VMs. */
+	readonly load: Load;
 };
 
+type RoomContext = StartTerms & {readonly service: RoutedService};
+
 /** Memory and slots bound what a model engine takes; slots bound what a plain target takes. */
-export const hasRoom = (ask: PlacedAsk, {target, others}: Occupied, {service: {engine}, givesWay}: RoomContext): boolean => {
+export const hasRoom = (ask: Pick<PlacedAsk, 'prompt' | 'isResumed'>, {slots, load: {running, heldTokens}}: Occupied, {service: {engine}, ...terms}: RoomContext): boolean => {
 	const {prompt} = ask;
-	const running = target.running + others.running;
 	if (!prompt || !engine) {
-		return running < target.record.slots * PLAIN_PER_SLOT;
+		return running < slots * PLAIN_PER_SLOT;
 	}
 
-	const {slotShare, memoryShare} = limitsOf(ask, givesWay);
-	const tokens = target.heldTokens + others.heldTokens + prompt.tokens + prompt.outputTokens;
+	const {slotShare, memoryShare} = limitsOf(ask, terms);
+	const tokens = heldTokens + prompt.tokens + prompt.outputTokens;
 	return running < Math.max(1, engine.slots * slotShare) && (running === 0 || tokens <= engine.kvCapacityTokens * memoryShare);
 };
 
@@ -69,9 +82,9 @@
  * A large prompt that cannot be in time by itself is started when little is ahead of it,
  * rather than never. What has begun cannot be in time any more, so its wait does not count.
  */
-export const startsInTime = (ask: PlacedAsk, {waitedMs, predictedMs, ownMs}: StartPrediction, givesWay: boolean): boolean => {
-	const {startShare} = limitsOf(ask, givesWay);
-	const countedWaitMs = ask.isResumed || givesWay ? 0 : waitedMs;
+export const startsInTime = (ask: Pick<PlacedAsk, 'isResumed' | 'targetLatencyMs'>, {waitedMs, predictedMs, ownMs}: StartPrediction, terms: StartTerms): boolean => {
+	const {startShare} = limitsOf(ask, terms);
+	const countedWaitMs = ask.isResumed || terms.givesWay ? 0 : waitedMs;
 	return countedWaitMs + predictedMs <= ask.targetLatencyMs * startShare
 		|| predictedMs - ownMs <= Math.min(ask.targetLatencyMs * LARGE_BACKLOG_SHARE, ownMs);
 };
--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -7,7 +7,7 @@
 	assumedKeeper, homesOf, keeperOf, type Keeper, type KeeperContext,
 } from './prompt-keeper.js';
 import {sharedKeys} from './prompt-record.js';
-import {hasRoom, startsInTime} from './start-limits.js';
+import {hasRoom, startsInTime, type Occupied} from './start-limits.js';
 import {type PlacedAsk} from './types.js';
 
 /** Milliseconds that each running request costs, as a price when targets are compared. */
@@ -31,8 +31,16 @@
 	readonly target: PlacedTarget;
 	/** The prompt's `sharedKeys`. */
 	readonly keys: readonly number[];
+	/** Tokens of the whole prompt. */
+	readonly promptTokens: number;
 	/** Prompt tokens that the target has to read. */
 	readonly newTokens: number;
+	/** Leading tokens that it would copy from another target. */
+	readonly copiedTokens: number;
+	/** Whether the prompt's shared parts belong there. */
+	readonly isHome: boolean;
+	/** Whether it can start the request in time, by what is known here. */
+	readonly fits: boolean;
 	readonly reason: PlacementReason;
 	/** Milliseconds that the request costs there, with what it costs others. */
 	readonly price: number;
@@ -53,6 +61,12 @@
 	/** Tokens that a request has to read, and that it keeps in memory, on average. */
 	readonly averageNewTokens: number;
 	readonly averageHeldTokens: number;
+	/** Whether the owner of a target's ledger decides whether it takes a prompt. */
+	readonly isReserved: boolean;
+	/** Whether a target declined a request like this one a moment ago. */
+	readonly isClosed: (target: PlacedTarget, wish: {readonly newTokens: number; readonly givesWay: boolean}) => boolean;
+	/** Tokens of a prompt that its home can pass on, as its owner told. */
+	readonly copyableOf: (keys: readonly number[]) => number;
 	/** Whether a cold target may get one more request. */
 	readonly hasColdRoom: (target: PlacedTarget) => boolean;
 };
@@ -73,6 +87,13 @@
 	};
 };
 
+const occupied = ({record, running, readingTokens, heldTokens}: PlacedTarget, others: Load): Occupied => ({
+	slots: record.slots,
+	load: {
+		running: running + others.running, readingTokens: readingTokens + others.readingTokens, heldTokens: heldTokens + others.heldTokens,
+	},
+});
+
 /** What is compared at each target for one ask. */
 type Consideration = {
 	readonly ask: PlacedAsk;
@@ -96,10 +117,17 @@
 	const keptTokens = source && keeper ? keeper.copyableTokens : own;
 	const newTokens = prompt ? Math.max(0, prompt.tokens - keptTokens) : 0;
 	const predictedMs = (target.readingTokens + others.readingTokens + newTokens) / tokensPerMs;
+	const ownMs = newTokens / tokensPerMs;
+	const terms = {givesWay, isExact: false};
+	const waitedMs = nowMs - ask.arrivedMs;
 	return {
 		target,
 		keys,
+		promptTokens: prompt?.tokens ?? 0,
 		newTokens,
+		copiedTokens: source && keeper ? keeper.copyableTokens : 0,
+		isHome: keeper?.target === target,
+		fits: hasRoom(ask, occupied(target, others), {service, ...terms}) && startsInTime(ask, {waitedMs, predictedMs, ownMs}, terms),
 		price: predictedMs
 			+ ((target.running + others.running) * (RUNNING_PRICE_MS + ((prompt?.outputTokens ?? 0) * RUNNING_PRICE_MS_PER_TOKEN)))
 			+ (target.record.dataCentre === dataCentre ? 0 : OTHER_DATA_CENTRE_PRICE_MS)
@@ -112,7 +140,7 @@
 			othersRunning: others.running,
 			isCold: target.isCold(nowMs),
 			heartbeatAgeMs: nowMs - target.heardMs,
-			waitedMs: nowMs - ask.arrivedMs,
+			waitedMs,
 			copyFrom: source?.record,
 			givesWay,
 		},
@@ -121,7 +149,7 @@
 
 /** Targets that the request was not sent to, less the worst of those that failed lately. */
 const untried = ({tried}: PlacedAsk, {targets, nowMs}: ChoiceContext): readonly PlacedTarget[] => {
-	const left = tried.length === 0 ? targets : targets.filter(({record}) => !tried.includes(record.id));
+	const left = targets.filter(target => target.heldOffMs(nowMs) === 0 && !tried.includes(target.record.id));
 	const failing = left.filter(target => target.isPassedOver(nowMs));
 	if (failing.length === 0) {
 		return left;
@@ -150,7 +178,7 @@
 export const whyClosed = (ask: PlacedAsk, givesWay: boolean, ctx: ChoiceContext): Closed => {
 	const left = untried(ask, ctx);
 	const withColdRoom = left.filter(target => ctx.hasColdRoom(target));
-	const withRoom = withColdRoom.filter(target => hasRoom(ask, {target, others: othersAt(target, ctx)}, {service: ctx.service, givesWay}));
+	const withRoom = withColdRoom.filter(target => hasRoom(ask, occupied(target, othersAt(target, ctx)), {service: ctx.service, givesWay, isExact: false}));
 	return {
 		targets: ctx.targets.length,
 		passedOver: ctx.targets.length - left.length,
@@ -164,6 +192,12 @@
 /** Whether any target is left for the request, now or later. */
 export const hasTargetLeft = (ask: PlacedAsk, ctx: ChoiceContext): boolean => untried(ask, ctx).length > 0;
 
+/** Milliseconds until the first target takes requests again that asked to be left alone; undefined when none did. */
+export const heldOffMs = ({tried}: PlacedAsk, {targets, nowMs}: ChoiceContext): number | undefined => {
+	const times = targets.filter(({record}) => !tried.includes(record.id)).map(target => target.heldOffMs(nowMs)).filter(ms => ms > 0);
+	return times.length === 0 ? undefined : Math.min(...times);
+};
+
 /** Two targets at random: the better of two keeps loads even without exact figures. */
 const twoAtRandom = (targets: readonly PlacedTarget[], random: () => number): readonly PlacedTarget[] => {
 	if (targets.length <= 2) {
@@ -198,19 +232,19 @@
 export const chooseTarget = (ask: PlacedAsk, givesWay: boolean, ctx: ChoiceContext): Candidate | undefined => {
 	const keys = ask.prompt ? sharedKeys(ask.prompt) : [];
 	const sharedTokens = ask.prompt?.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0) ?? 0;
-	const keeper = ctx.isSampled ? assumedKeeper(keys, sharedTokens, ctx) : ask.prompt && keeperOf(ask.prompt, keys, ctx);
+	const keeper = ctx.isSampled ? assumedKeeper(keys, ctx.isReserved ? ctx.copyableOf(keys) : sharedTokens, ctx) : ask.prompt && keeperOf(ask.prompt, keys, ctx);
+	const isReserved = ctx.isReserved && ask.prompt !== undefined;
 	let best: Candidate | undefined;
 	for (const target of compared(ask, keys, ctx)) {
-		const others = othersAt(target, ctx);
-		if (!hasRoom(ask, {target, others}, {service: ctx.service, givesWay}) || !ctx.hasColdRoom(target)) {
+		if (!ctx.hasColdRoom(target)) {
 			continue;
 		}
 
 		const candidate = candidateAt(target, {
-			ask, keys, sharedTokens, keeper, others, givesWay,
+			ask, keys, sharedTokens, keeper, others: othersAt(target, ctx), givesWay,
 		}, ctx);
-		const prediction = {...candidate.reason, ownMs: candidate.newTokens / ctx.tokensPerMs};
-		if (startsInTime(ask, prediction, givesWay) && (!best || candidate.price < best.price)) {
+		const isOpen = isReserved ? !ctx.isClosed(target, {newTokens: candidate.newTokens, givesWay}) : candidate.fits;
+		if (isOpen && (!best || candidate.price < best.price)) {
 			best = candidate;
 		}
 	}
--- a/src/runtime/observe/metrics.ts
+++ b/src/runtime/observe/metrics.ts
@@ -30,6 +30,9 @@
 		cancels: new Counter({
 			name: 'jackdawwood_cancels_total', help: 'Runs cancelled at the target.', labelNames: ['result'] as const, registers,
 		}),
+		uncaughtErrors: new Counter({
+			name: 'jackdawwood_uncaught_errors_total', help: 'Errors that nothing caught.', registers,
+		}),
 		claims: new Counter({
 			name: 'jackdawwood_claims_total', help: 'Claims of idempotency keys.', labelNames: ['result'] as const, registers,
 		}),
--- a/src/runtime/routing/load-exchange.ts
+++ b/src/runtime/routing/load-exchange.ts
@@ -9,11 +9,14 @@
 import {type Clock} from '../../core/clock.js';
 import {peersOfRound, planExchange} from '../../core/placement/exchange-plan.js';
 import {type FleetLoads, type TargetLoad, type TeamLoad} from '../../core/placement/fleet-loads.js';
-import {type ObservedLoad} from '../../core/placement/messages.js';
+import {type LeavingTarget, type ObservedLoad} from '../../core/placement/messages.js';
 import {type SentPrompt} from '../../core/placement/prompt-record.js';
-import {LoadReportSchema} from '../../gen/jackdawwood/v1/exchange_pb.js';
+import {LoadReportSchema, PeerDatagramSchema} from '../../gen/jackdawwood/v1/exchange_pb.js';
 import {hash32} from '../../core/membership/rendezvous.js';
+import {type PeerMessage} from '../../core/placement/reservations.js';
+import {type NewsWord} from '../../core/news/types.js';
 import {type Log} from '../observe/log.js';
+import {decodeReservations, encodeReservations, type ServiceMessage} from './reservation-messages.js';
 
 type Address = {readonly host: string; readonly port: number};
 
@@ -26,12 +29,22 @@
 	readonly loads: FleetLoads;
 	/** Where the other VMs listen. */
 	readonly peers: () => readonly Address[];
+	readonly peerOf: (vm: string) => Address | undefined;
+	/** Called with what another VM says of reservations. */
+	readonly onPeer: (from: string, service: string, message: PeerMessage) => void;
 	readonly targets: () => readonly TargetLoad[];
 	readonly teams: () => readonly TeamLoad[];
 	/** Prompts that were sent since the last call. */
 	readonly takeSentPrompts: () => readonly SentPrompt[];
 	/** Called with the prompts that another VM has sent. */
 	readonly onSentPrompts: (sent: readonly SentPrompt[]) => void;
+	/** Targets whose answers have begun to say that they leave. */
+	readonly leavingTargets: () => readonly LeavingTarget[];
+	readonly onLeavingTargets: (leaving: readonly LeavingTarget[]) => void;
+	/** How new the news of this VM is. */
+	readonly newsWord: () => NewsWord;
+	/** Called with how new the news of another VM is. */
+	readonly onNewsWord: (word: NewsWord) => void;
 	/** What targets said of their load since the last call. */
 	readonly takeObserved: () => readonly ObservedLoad[];
 	/** Called with what targets said of their load to another VM. */
@@ -39,12 +52,14 @@
 };
 
 export type LoadExchange = {
+	/** Sends a message on reservations, with others of the same turn. */
+	readonly tell: (vm: string, service: string, message: PeerMessage) => void;
 	readonly close: () => void;
 };
 
 /** Starts to listen and to report. */
 export const startLoadExchange = async ({
-	vm, incarnation, listen, clock, log, loads, peers, targets, teams, takeSentPrompts, onSentPrompts, takeObserved, onObserved,
+	vm, incarnation, listen, clock, log, loads, peers, peerOf, onPeer, targets, teams, takeSentPrompts, onSentPrompts, takeObserved, onObserved, newsWord, onNewsWord, leavingTargets, onLeavingTargets,
 }: LoadExchangeOptions): Promise<LoadExchange> => {
 	const socket = createSocket('udp4');
 	let sequence = 0;
@@ -52,11 +67,24 @@
 
 	socket.on('message', bytes => {
 		try {
-			const report = fromBinary(LoadReportSchema, bytes);
-			if (report.vm !== vm) {
-				loads.take(report, clock.nowMs());
+			const datagram = fromBinary(PeerDatagramSchema, bytes);
+			if (datagram.vm === vm) {
+				return;
+			}
+
+			const {report} = datagram;
+			if (report) {
+				loads.take({...report, vm: datagram.vm}, clock.nowMs());
 				onSentPrompts(report.prompts);
 				onObserved(report.observed);
+				onLeavingTargets(report.leaving.map(({target, bornMs}) => ({target, bornMs: Number(bornMs)})));
+				onNewsWord({
+					isLost: report.storeLost, versions: new Map(report.tables.map(({table, version}) => [table, Number(version)])),
+				});
+			}
+
+			for (const {service, message} of decodeReservations(datagram)) {
+				onPeer(datagram.vm, service, message);
 			}
 		} catch (error) {
 			log.warn('load report not understood', {fault: String(error)});
@@ -86,10 +114,15 @@
 		loads.expire(clock.nowMs(), plan.validMs, plan.isWhole ? undefined : addresses.length);
 		const told = contents(plan.isWhole);
 		if (addresses.length > 0) {
-			const bytes = toBinary(LoadReportSchema, create(LoadReportSchema, {
-				vm, incarnation, sequence: ++sequence, ...told,
+			const {versions, isLost} = newsWord();
+			const report = create(LoadReportSchema, {
+				storeLost: isLost,
+				leaving: leavingTargets().map(({target, bornMs}) => ({target, bornMs: BigInt(bornMs)})),
+				tables: [...versions].map(([table, version]) => ({table, version: BigInt(version)})),
+				incarnation, sequence: ++sequence, ...told,
 				teams: teams().map(load => ({...load, use: Math.round(load.use), asked: Math.round(load.asked)})),
-			}));
+			});
+			const bytes = toBinary(PeerDatagramSchema, create(PeerDatagramSchema, {vm, report}));
 			for (const {host, port} of peersOfRound(addresses, next, plan)) {
 				// A peer that cannot be reached misses one report.
 				socket.send(bytes, port, host, () => undefined);
@@ -101,8 +134,29 @@
 		timer = setTimeout(send, plan.periodMs);
 	};
 
+	const outbox = new Map<string, ServiceMessage[]>();
+	const flush = (): void => {
+		for (const [to, messages] of outbox) {
+			const address = peerOf(to);
+			if (address) {
+				socket.send(toBinary(PeerDatagramSchema, create(PeerDatagramSchema, {vm, ...encodeReservations(messages)})), address.port, address.host, () => undefined);
+			}
+		}
+
+		outbox.clear();
+	};
+
 	send();
 	return {
+		tell(to, service, message) {
+			if (outbox.size === 0) {
+				setImmediate(flush);
+			}
+
+			const messages = outbox.get(to) ?? [];
+			outbox.set(to, messages);
+			messages.push({service, message});
+		},
 		close() {
 			clearTimeout(timer);
 			socket.close();
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -3,9 +3,12 @@
 import {type Grant, type PendingAsk, type Scheduler} from '../../core/dispatch/types.js';
 import {RefusalError} from '../../core/errors/refusal-error.js';
 import {DeadlinePassed, NoTarget} from '../../core/errors/refusals-data.js';
-import {type ObservedLoad, type PlacementEffect, type PlacementMessage} from '../../core/placement/messages.js';
+import {
+	type LeavingTarget, type ObservedLoad, type PlacementEffect, type PlacementMessage,
+} from '../../core/placement/messages.js';
 import {type FleetLoads, type TargetLoad, type TeamLoad} from '../../core/placement/fleet-loads.js';
 import {type SentPrompt} from '../../core/placement/prompt-record.js';
+import {type PeerMessage} from '../../core/placement/reservations.js';
 import {ServicePlacement} from '../../core/placement/service-placement.js';
 import {type FleetBounds, type PlacedAsk} from '../../core/placement/types.js';
 import {type FleetNews} from '../../core/routing/types.js';
@@ -31,6 +34,8 @@
 	readonly loads: FleetLoads;
 	/** Uniform in [0, 1). */
 	readonly random: () => number;
+	/** Sends a message to another VM; it may be lost. */
+	readonly tellPeer: (vm: string, service: string, message: PeerMessage) => void;
 };
 
 export type PlacementScheduler = Required<Scheduler> & {
@@ -48,6 +53,11 @@
 	readonly onObserved: (loads: readonly ObservedLoad[]) => void;
 	/** Takes in the prompts that another VM has sent. */
 	readonly onSentPrompts: (sent: readonly SentPrompt[]) => void;
+	/** Targets whose answers have begun to say that they leave. */
+	readonly leavingTargets: () => readonly LeavingTarget[];
+	readonly onLeavingTargets: (leaving: readonly LeavingTarget[]) => void;
+	/** Takes in what another VM says of reservations. */
+	readonly onPeer: (from: string, service: string, message: PeerMessage) => void;
 	/** Asks that wait, by service. */
 	readonly waiting: () => ReadonlyMap<string, number>;
 };
@@ -57,7 +67,7 @@
 	readonly reject: (err: RefusalError) => void;
 };
 
-export const createPlacementScheduler = ({vm, dataCentre, bounds, clock, view, vms, log, loads, random}: PlacementSchedulerOptions): PlacementScheduler => {
+export const createPlacementScheduler = ({vm, dataCentre, bounds, clock, view, vms, log, loads, random, tellPeer}: PlacementSchedulerOptions): PlacementScheduler => {
 	const placements = new Map<string, ServicePlacement>();
 	const waiters = new Map<string, Waiter>();
 	const serviceOfGrant = new Map<string, string>();
@@ -71,6 +81,11 @@
 
 	const perform = (service: string, effects: readonly PlacementEffect[]): void => {
 		for (const effect of effects) {
+			if (effect.kind === 'tell-peer') {
+				tellPeer(effect.vm, service, effect.message);
+				continue;
+			}
+
 			const waiter = waiters.get(effect.ask.requestId);
 			waiters.delete(effect.ask.requestId);
 			if (effect.kind === 'reject') {
@@ -85,6 +100,11 @@
 					closed_doubtful: effect.closed?.doubtful,
 					full: effect.closed?.full,
 					late: effect.closed?.late,
+					declined_by: effect.lastDecline?.target,
+					declined_running: effect.lastDecline?.running,
+					declined_reading_tokens: effect.lastDecline?.readingTokens,
+					declined_predicted_ms: effect.lastDecline && Math.round(effect.lastDecline.predictedMs),
+					new_tokens: effect.lastDecline?.newTokens,
 					retry_after_ms: Math.round(effect.retryAfterMs),
 					waited_ms: Math.round(clock.nowMs() - effect.ask.arrivedMs),
 				});
@@ -189,7 +209,8 @@
 		}),
 		isValid({target: id, expiresAtMs}) {
 			const target = view.targets().get(id);
-			return target !== undefined && !target.isDraining && !view.isOut(target.dataCentre) && clock.nowMs() < expiresAtMs;
+			return target !== undefined && !target.isDraining && !view.isOut(target.dataCentre) && clock.nowMs() < expiresAtMs
+				&& placements.get(target.service)?.isOpen(id, clock.nowMs()) === true;
 		},
 		end({grantId, target}, result) {
 			const service = serviceOfGrant.get(grantId);
@@ -254,6 +275,18 @@
 				tellAll({kind: 'observed-elsewhere', loads: observed});
 			}
 		},
+		leavingTargets: () => [...placements.values()].flatMap(placement => placement.leavingTargets(clock.nowMs())),
+		onLeavingTargets(targets) {
+			for (const leaving of targets) {
+				const service = view.targets().get(leaving.target)?.service;
+				if (service !== undefined) {
+					tell(service, {kind: 'leaving-elsewhere', leaving});
+				}
+			}
+		},
+		onPeer(from, service, message) {
+			tell(service, {kind: 'peer', from, message});
+		},
 		onSentPrompts(prompts) {
 			for (const sent of prompts) {
 				const service = view.targets().get(sent.target)?.service;
--- /dev/null
+++ b/src/runtime/routing/reservation-messages.ts
@@ -0,0 +1,53 @@
+/** Translates messages on reservations to and from their datagrams. */
+import {type MessageInitShape} from '@bufbuild/protobuf';
+import {type ReservationAnswer, type ReservationWish} from '../../core/placement/target-ledger.js';
+import {type PeerMessage} from '../../core/placement/reservations.js';
+import {type PeerDatagram, type PeerDatagramSchema, type ReservationRequest} from '../../gen/jackdawwood/v1/exchange_pb.js';
+
+/** A message with the service that it concerns. */
+export type ServiceMessage = {readonly service: string; readonly message: PeerMessage};
+
+const encodeWish = (service: string, {id, target, prompt, keys, copiedTokens, targetLatencyMs, waitedMs, givesWay, isResumed}: ReservationWish) => ({
+	id, service, target, keys: [...keys], givesWay, isResumed,
+	partTokens: prompt.parts.slice(0, keys.length).map(({tokens}) => Math.round(tokens)),
+	promptTokens: Math.round(prompt.tokens),
+	outputTokens: Math.round(prompt.outputTokens),
+	copiedTokens: Math.round(copiedTokens),
+	latencyTargetMs: Math.round(targetLatencyMs),
+	waitedMs: Math.max(0, Math.round(waitedMs)),
+});
+
+const decodeWish = ({id, target, keys, partTokens, promptTokens, outputTokens, copiedTokens, latencyTargetMs, waitedMs, givesWay, isResumed}: ReservationRequest): ReservationWish => ({
+	id, target, keys, copiedTokens, targetLatencyMs: latencyTargetMs, waitedMs, givesWay, isResumed,
+	// The hashes name the parts; what they are called is of no use here.
+	prompt: {
+		model: '', parts: partTokens.map(tokens => ({id: '', tokens})), tokens: promptTokens, outputTokens,
+	},
+});
+
+const encodeAnswer = (service: string, id: string, answer: ReservationAnswer) => ({
+	...answer,
+	id,
+	service,
+	keptTokens: Math.round(answer.keptTokens),
+	retryAfterMs: Math.ceil(answer.retryAfterMs),
+	readingTokens: Math.max(0, Math.round(answer.readingTokens)),
+	predictedMs: Math.round(answer.predictedMs),
+});
+
+/** The parts of a datagram that carry the messages. */
+export const encodeReservations = (messages: readonly ServiceMessage[]): MessageInitShape<typeof PeerDatagramSchema> => ({
+	requests: messages.flatMap(({service, message}) => message.kind === 'request' ? [encodeWish(service, message.wish)] : []),
+	answers: messages.flatMap(({service, message}) => message.kind === 'answer' ? [encodeAnswer(service, message.id, message.answer)] : []),
+	progress: messages.flatMap(({service, message: {kind, ...rest}}) => kind === 'progress' ? [{service, ...rest}] : []),
+});
+
+export const decodeReservations = ({requests, answers, progress}: PeerDatagram): readonly ServiceMessage[] => [
+	...progress.map(({id, service, target, hasEnded}): ServiceMessage => ({
+		service, message: {
+			kind: 'progress', id, target, hasEnded,
+		},
+	})),
+	...requests.map((request): ServiceMessage => ({service: request.service, message: {kind: 'request', wish: decodeWish(request)}})),
+	...answers.map(({id, service, ...answer}): ServiceMessage => ({service, message: {kind: 'answer', id, answer}})),
+];
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -17,7 +17,7 @@
 import {type Metrics} from '../observe/metrics.js';
 import {FleetLoads} from '../../core/placement/fleet-loads.js';
 import {createFleetView} from './fleet-view.js';
-import {startLoadExchange} from './load-exchange.js';
+import {startLoadExchange, type LoadExchange} from './load-exchange.js';
 import {createPlacementScheduler} from './placement-scheduler.js';
 import {createRelayCalls} from './relay-call.js';
 import {serveRequest, type ServeContext} from './serve-request.js';
@@ -55,6 +55,8 @@
 	readonly exchange: Address;
 	/** Where the other VMs listen for load reports. */
 	readonly peers: () => readonly Address[];
+	/** Where one VM listens. */
+	readonly peerOf: (vm: string) => Address | undefined;
 	readonly callers: Address;
 	readonly ready: Address & {readonly path: string};
 	readonly metricsAddress: Address;
@@ -111,8 +113,12 @@
 	} = options;
 	const view = createFleetView(log);
 	const loads = new FleetLoads();
+	const peers: {exchange?: LoadExchange} = {};
 	const scheduler = createPlacementScheduler({
 		vm, dataCentre, bounds, clock, view, vms, log, loads, random,
+		tellPeer(peer, service, message) {
+			peers.exchange?.tell(peer, service, message);
+		},
 	});
 	const shed = createLoadShed({behindMs: limits.behindMs, random});
 	const loopDelay = startLoopDelay({
@@ -125,10 +131,13 @@
 	});
 	const exchange = await startLoadExchange({
 		vm, incarnation, listen: options.exchange, clock, log, loads,
-		peers: options.peers, targets: scheduler.targetLoads, teams: scheduler.teamLoads,
+		peers: options.peers, peerOf: options.peerOf, onPeer: scheduler.onPeer, targets: scheduler.targetLoads, teams: scheduler.teamLoads,
 		takeSentPrompts: scheduler.takeSentPrompts, onSentPrompts: scheduler.onSentPrompts,
 		takeObserved: scheduler.takeObserved, onObserved: scheduler.onObserved,
+		newsWord: source.word, onNewsWord: source.onWord,
+		leavingTargets: scheduler.leavingTargets, onLeavingTargets: scheduler.onLeavingTargets,
 	});
+	peers.exchange = exchange;
 	const serviceAt = (address: string) => [...view.targets().values()].find(target => target.address === address)?.service;
 	const pools = createTargetPools(address => serviceAt(address) !== undefined, {
 		connections(address) {
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -3,6 +3,7 @@
 import {type ReportedLoad} from '../../core/dispatch/types.js';
 import {type RefusalError} from '../../core/errors/refusal-error.js';
 import {type FleetBounds} from '../../core/placement/types.js';
+import {type NewsWord} from '../../core/news/types.js';
 import {type FleetNews, type Route} from '../../core/routing/types.js';
 import {type EntryLimits} from '../entry/types.js';
 import {type Headers, type Job, type TargetRequest} from '../entry/job.js';
@@ -50,6 +51,10 @@
 	}) => TargetRequest;
 	readonly classify: (requestId: string, status: number, headers: IncomingHttpHeaders) => TargetAnswerKind;
 	readonly load: (headers: IncomingHttpHeaders) => ReportedLoad | undefined;
+	/** Whether an answer, of whatever request, says that its target leaves. */
+	readonly isLeaving: (headers: IncomingHttpHeaders) => boolean;
+	/** Milliseconds for which a target that declined wants nothing, if it says so. */
+	readonly heldOffMs: (status: number, headers: IncomingHttpHeaders) => number | undefined;
 	/** Headers of the answer that go on to the caller. */
 	readonly callerHeaders: (headers: IncomingHttpHeaders) => Headers;
 };
@@ -60,6 +65,10 @@
 	readonly stop: () => Promise<void>;
 	/** Milliseconds since the source was last heard. */
 	readonly newsAgeMs: () => number;
+	/** What the other VMs are told of how new the news here is. */
+	readonly word: () => NewsWord;
+	/** Takes in what another VM said of its news. */
+	readonly onWord: (word: NewsWord) => void;
 };
 
 /** A request with the route that it takes. */
--- /dev/null
+++ b/test/news/news-follower.test.ts
@@ -0,0 +1,112 @@
+import test from 'ava';
+import {NewsFollower} from '../../src/core/news/news-follower.js';
+import {type FollowEffect} from '../../src/core/news/types.js';
+import {createRandom} from '../../tools/load/random.js';
+import {runModel} from './_model.js';
+
+const kindsOf = (effects: readonly FollowEffect[]): readonly string[] => effects.map(({kind}) => kind);
+
+/** A follower that has read its table as of version 10 and waits for changes with call 2. */
+const waitingFollower = (): NewsFollower => {
+	const follower = new NewsFollower({pauseMs: 500, vms: () => 195, random: () => 0.5});
+	follower.handle({kind: 'start'}, 0);
+	follower.handle({kind: 'read', call: 1, version: 10}, 5);
+	return follower;
+};
+
+test('a VM whose connection fell silent asks anew when others know of a change', t => {
+	const follower = waitingFollower();
+	const [wake] = follower.handle({kind: 'heard', version: 11}, 1000);
+	t.is(wake?.kind, 'wake');
+	t.deepEqual(kindsOf(follower.handle({kind: 'tick'}, 1250)), ['drop', 'wait']);
+});
+
+test('a change that comes by the own call needs no other', t => {
+	const follower = waitingFollower();
+	follower.handle({kind: 'heard', version: 11}, 1000);
+	follower.handle({
+		kind: 'changes', call: 2, version: 12, changedAt: 11,
+	}, 1010);
+	t.deepEqual(kindsOf(follower.handle({kind: 'tick'}, 1250)), ['wake']);
+	t.is(follower.changedAt, 11);
+});
+
+test('the answer of a call that was given up changes nothing', t => {
+	const follower = waitingFollower();
+	follower.handle({kind: 'heard', version: 11}, 1000);
+	follower.handle({kind: 'tick'}, 1250);
+	t.deepEqual(follower.handle({
+		kind: 'changes', call: 2, version: 12, changedAt: 11,
+	}, 1300), []);
+	t.is(follower.covered, 10);
+});
+
+test('false word of a version costs one call a second at most', t => {
+	const follower = waitingFollower();
+	let calls = 0;
+	let call = 2;
+	for (let nowMs = 0; nowMs < 10_000; nowMs += 50) {
+		follower.handle({kind: 'heard', version: 1_000_000 + nowMs}, nowMs);
+		for (const effect of follower.handle({kind: 'tick'}, nowMs)) {
+			if (effect.kind === 'wait') {
+				calls++;
+				({call} = effect);
+			}
+		}
+
+		if (nowMs % 1000 === 0) {
+			follower.handle({
+				kind: 'changes', call, version: 10, changedAt: undefined,
+			}, nowMs);
+			call++;
+		}
+	}
+
+	t.true(calls <= 11, `${calls} calls in 10 s`);
+});
+
+/** Calls that a VM makes in a second while nothing changes. */
+const idleCallsPerS = (vms: number): number => {
+	const random = createRandom(3);
+	let calls = 0;
+	for (let vm = 0; vm < vms; vm++) {
+		const follower = new NewsFollower({pauseMs: 500, vms: () => vms, random: () => random.uniform()});
+		follower.handle({kind: 'start'}, 0);
+		let effects = follower.handle({kind: 'read', call: 1, version: 1}, 0);
+		for (let nowMs = 0; nowMs < 300_000; calls++) {
+			const [wait] = effects;
+			if (wait?.kind !== 'wait') {
+				break;
+			}
+
+			nowMs += wait.waitMs;
+			effects = follower.handle({
+				kind: 'changes', call: wait.call, version: 1, changedAt: undefined,
+			}, nowMs);
+		}
+	}
+
+	return calls / vms / 300;
+};
+
+test('idle calls of a VM do not grow with the fleet', t => {
+	t.true(idleCallsPerS(300) <= idleCallsPerS(30) * 1.2);
+	t.true(idleCallsPerS(1100) <= idleCallsPerS(300) * 1.2);
+	// Of two tables, with what changes and the VM's own row on top.
+	t.true(2 * idleCallsPerS(195) < 0.13);
+});
+
+const SEEDS = 2000;
+
+test('no schedule of silent connections, lost word, outages and pauses takes a VM back or leaves it behind', t => {
+	for (let seed = 1; seed <= SEEDS; seed++) {
+		const {wentBack, behindMs} = runModel(seed);
+		t.is(wentBack, 0, `seed ${seed}`);
+		t.true(behindMs <= 3000, `seed ${seed}: ${behindMs} ms behind a change while in touch`);
+	}
+});
+
+test('without word of other VMs the same schedules leave VMs behind', t => {
+	const late = Array.from({length: 100}, (_, index) => runModel(index + 1, {hasWord: false})).filter(({behindMs}) => behindMs > 3000);
+	t.true(late.length > 10, `${late.length} of 100`);
+});
--- a/test/placement/_service.ts
+++ b/test/placement/_service.ts
@@ -1,5 +1,6 @@
 /** A service with targets, and asks to it. */
 import {type AskPlacement, type Prompt} from '../../src/core/dispatch/types.js';
+import {type PlacementEffect} from '../../src/core/placement/messages.js';
 import {FleetLoads} from '../../src/core/placement/fleet-loads.js';
 import {ServicePlacement} from '../../src/core/placement/service-placement.js';
 import {type FleetBounds, type PlacedAsk} from '../../src/core/placement/types.js';
@@ -52,3 +53,20 @@
 		},
 	});
 };
+
+/** What became of a request: the target that it goes to or is reserved at, or why it is rejected. */
+export const targetOf = (effect: PlacementEffect): string => {
+	switch (effect.kind) {
+		case 'grant': {
+			return effect.target.id;
+		}
+
+		case 'reject': {
+			return effect.reason;
+		}
+
+		case 'tell-peer': {
+			return effect.message.kind === 'request' ? effect.message.wish.target : effect.message.kind;
+		}
+	}
+};
--- a/test/placement/large-fleet.test.ts
+++ b/test/placement/large-fleet.test.ts
@@ -3,7 +3,7 @@
 import {FleetLoads} from '../../src/core/placement/fleet-loads.js';
 import {createRandom} from '../../tools/load/random.js';
 import {
-	ask, createPlacement, modelService, plainService, prompt, target,
+	ask, createPlacement, modelService, plainService, prompt, target, targetOf,
 } from './_service.js';
 
 const MS_PER_S = 1000;
@@ -95,7 +95,7 @@
 		}
 
 		for (const effect of placement.handle({kind: 'ask', ask: ask('team', 0, {prompt: prompt('subject', 9000)})}, 0)) {
-			chosen.add(effect.kind === 'grant' ? effect.target.id : effect.reason);
+			chosen.add(targetOf(effect));
 		}
 	}
 
--- /dev/null
+++ b/test/placement/reservations.test.ts
@@ -0,0 +1,157 @@
+import test from 'ava';
+import {type PlacementEffect} from '../../src/core/placement/messages.js';
+import {type PeerMessage} from '../../src/core/placement/reservations.js';
+import {type ServicePlacement} from '../../src/core/placement/service-placement.js';
+import {TargetLedger, type LedgerContext, type ReservationWish} from '../../src/core/placement/target-ledger.js';
+import {sharedKeys} from '../../src/core/placement/prompt-record.js';
+import {runFleet, type FleetLoad} from './_fleet-model.js';
+import {
+	ask, createPlacement, modelService, prompt, target, targetOf,
+} from './_service.js';
+
+const vms = Array.from({length: 30}, (_, index) => `vm-${index}`);
+const CAPACITY_TOKENS = 465_000;
+
+const createLedger = (tokensPerMs = 50): TargetLedger => new TargetLedger('t1', {capacityTokens: () => CAPACITY_TOKENS, tokensPerMs, nowMs: 0});
+
+const wish = (id: string, tokens: number, changes: Partial<ReservationWish> = {}): ReservationWish => {
+	const wished = prompt(id, tokens);
+	return {
+		id, target: 't1', prompt: wished, keys: sharedKeys(wished), copiedTokens: 0, targetLatencyMs: 800, waitedMs: 0, givesWay: false, isResumed: false, ...changes,
+	};
+};
+
+const ctx = (nowMs: number, changes: Partial<LedgerContext> = {}): LedgerContext => ({
+	service: modelService, slots: 64, observedRunning: 0, nowMs, ...changes,
+});
+
+test('a ledger lets in what the engine can read in time, and says when the next one may fit', t => {
+	const ledger = createLedger();
+	t.true(ledger.reserve(wish('a', 15_000), ctx(0)).isGranted);
+	const declined = ledger.reserve(wish('b', 17_000), ctx(1));
+	t.false(declined.isGranted);
+	t.true(declined.retryAfterMs > 0);
+	ledger.noteStarted('a', 320);
+	t.true(ledger.reserve(wish('b', 17_000), ctx(321)).isGranted);
+});
+
+test('a ledger counts what the engine keeps, and forgets what ended', t => {
+	const ledger = createLedger();
+	ledger.reserve(wish('a', 9000), ctx(0));
+	ledger.noteStarted('a', 200);
+	t.is(ledger.reserve(wish('a', 9000, {id: 'again'}), ctx(300)).keptTokens, 4500);
+	ledger.noteEnded('a');
+	ledger.noteEnded('again');
+	t.is(ledger.running, 0);
+});
+
+test('a ledger that has just begun counts what the target itself tells of', t => {
+	t.false(createLedger().reserve(wish('a', 5000), ctx(0, {observedRunning: 64})).isGranted);
+	t.true(createLedger().reserve(wish('a', 5000), ctx(10_000, {observedRunning: 64})).isGranted);
+});
+
+test('a VM that restarted does not leave its old request of the same id behind', t => {
+	const ledger = createLedger();
+	ledger.reserve(wish('a', 9000), ctx(0));
+	ledger.reserve(wish('a', 9000), ctx(1));
+	t.is(ledger.running, 1);
+	ledger.noteEnded('a');
+	const {readingTokens} = ledger.reserve(wish('b', 9000), ctx(2));
+	t.true(readingTokens <= 9000);
+});
+
+const withTargets = (vm: string): ServicePlacement => {
+	const placement = createPlacement({vm, vms, service: {...modelService, coldPerS: 0}});
+	for (const id of ['t1', 't2', 't3']) {
+		placement.handle({kind: 'target', target: target(id)}, 0);
+	}
+
+	return placement;
+};
+
+const isTold = (effect: PlacementEffect | undefined): effect is Extract<PlacementEffect, {kind: 'tell-peer'}> => effect?.kind === 'tell-peer';
+
+/** A VM that asks another one for room, with the effect that asks. */
+const askingVm = () => {
+	for (const vm of vms) {
+		const placement = withTargets(vm);
+		const wanted = ask('team', 0, {prompt: prompt('subject', 9000)});
+		const [effect] = placement.handle({kind: 'ask', ask: wanted}, 0);
+		if (isTold(effect)) {
+			return {placement, effect, wanted};
+		}
+	}
+
+	throw new Error('every VM owns its home');
+};
+
+test('an owner that does not answer is passed over, and its request is placed on what is known here', t => {
+	const {placement, effect} = askingVm();
+	t.deepEqual(placement.handle({kind: 'tick'}, 30), []);
+	const [grant] = placement.handle({kind: 'tick'}, 45);
+	t.is(grant && targetOf(grant), targetOf(effect));
+	t.is(grant?.kind, 'grant');
+	const [next] = placement.handle({kind: 'ask', ask: ask('team', 50, {prompt: prompt('subject', 9000)})}, 50);
+	t.true(next?.kind === 'grant' || (isTold(next) && next.vm !== effect.vm));
+});
+
+const answerOf = (owner: ServicePlacement, {message}: Extract<PlacementEffect, {kind: 'tell-peer'}>, from: string): PeerMessage => {
+	const [answer] = owner.handle({kind: 'peer', from, message}, 2);
+	if (!isTold(answer)) {
+		throw new Error('no answer');
+	}
+
+	return answer.message;
+};
+
+test('an answer of the owner starts the request, and its end is told', t => {
+	const {placement, effect} = askingVm();
+	const message = answerOf(withTargets(effect.vm), effect, 'vm-x');
+	const [grant] = placement.handle({kind: 'peer', from: effect.vm, message}, 4);
+	if (grant?.kind !== 'grant') {
+		t.fail('no grant');
+		return;
+	}
+
+	const ended = placement.handle({
+		kind: 'end', grantId: grant.grantId, target: grant.target.id, result: {kind: 'answered', cost: 0, answerMs: 1},
+	}, 500);
+	t.like(ended[0], {
+		kind: 'tell-peer', vm: effect.vm, message: {kind: 'progress', id: grant.grantId, hasEnded: true},
+	});
+});
+
+test('room that nobody waits for any more is given back', t => {
+	const {placement, effect, wanted} = askingVm();
+	const message = answerOf(withTargets(effect.vm), effect, 'vm-x');
+	t.like(placement.handle({kind: 'withdraw', requestId: wanted.requestId}, 3)[0], {
+		kind: 'tell-peer', vm: effect.vm, message: {kind: 'progress', hasEnded: true},
+	});
+	t.like(placement.handle({kind: 'peer', from: effect.vm, message}, 4)[0], {
+		kind: 'tell-peer', vm: effect.vm, message: {kind: 'progress', hasEnded: true},
+	});
+});
+
+const overload: Omit<FleetLoad, 'seed'> = {
+	vms: 58,
+	engines: 16,
+	// About 1.3 times what the engines can read of these prompts.
+	requestsPerS: 240,
+	forMs: 3000,
+	latencyTargetMs: 800,
+	promptOf: (draw, index) => ({
+		model: 'm',
+		parts: [{id: 'front', tokens: 8000}, {id: `subject-${Math.floor(draw * draw * 50)}`, tokens: 5000}, {id: `own-${index}`, tokens: 3700}],
+		tokens: 16_700,
+		outputTokens: 100,
+	}),
+};
+
+test('many VMs that ask for more than all engines read keep them busy, and make few requests late', t => {
+	for (const seed of [1, 2, 3]) {
+		const {asked, inTime, late, busy} = runFleet({...overload, seed});
+		t.true(late <= asked * 0.05, `seed ${seed}: ${late} of ${asked} late`);
+		t.true(busy >= 0.8, `seed ${seed}: engines read ${busy} of their time`);
+		t.true(inTime >= asked * 0.5, `seed ${seed}: ${inTime} of ${asked} in time`);
+	}
+});
--- a/test/placement/service-placement.test.ts
+++ b/test/placement/service-placement.test.ts
@@ -3,10 +3,10 @@
 import {type PlacementEffect} from '../../src/core/placement/messages.js';
 import {type ServicePlacement} from '../../src/core/placement/service-placement.js';
 import {
-	ask, createPlacement, modelService, plainService, prompt, target,
+	ask, createPlacement, modelService, plainService, prompt, target, targetOf,
 } from './_service.js';
 
-const targetsOf = (effects: readonly PlacementEffect[]) => effects.map(effect => effect.kind === 'grant' ? effect.target.id : effect.reason);
+const targetsOf = (effects: readonly PlacementEffect[]) => effects.map(effect => targetOf(effect));
 
 const withTargets = (placement: ServicePlacement, ids: readonly string[], nowMs = 0): ServicePlacement => {
 	for (const id of ids) {
@@ -130,7 +130,7 @@
 	placement.handle({
 		kind: 'end', grantId: 'vm-1-1', target: 't1', result: {kind: 'answered', cost: 0, answerMs: 1},
 	}, 100);
-	const teams = placement.handle({kind: 'tick'}, 101).map(effect => effect.ask.team);
+	const teams = placement.handle({kind: 'tick'}, 101).flatMap(effect => 'ask' in effect ? [effect.ask.team] : []);
 	t.is(teams[0], 'small');
 });
 
--- a/test/platform/fleet-source.test.ts
+++ b/test/platform/fleet-source.test.ts
@@ -16,6 +16,7 @@
 	clock: monotonicClock,
 	log: silentLog,
 	drainMs: 2000,
+	random: () => 0.5,
 });
 
 test('a target that came by a change and left while history was lost is told as gone', async t => {
