--- a/src/runtime/routing/event-relay.ts
+++ b/src/runtime/routing/event-relay.ts
@@ -12,8 +12,9 @@
 	readonly feed: (chunk: Uint8Array) => Uint8Array | undefined;
 	/** Id of the last event that was passed on. */
 	readonly lastId: () => string | undefined;
-	/** Whether bytes of an unfinished event are left over. */
+	/** Whether bytes of an unfinished event are left over, and how many. */
 	readonly hasRest: () => boolean;
+	readonly restBytes: () => number;
 	/** Forgets an unfinished event before the stream goes on elsewhere. */
 	readonly restart: () => void;
 	readonly events: () => number;
@@ -26,21 +27,38 @@
 	id !== undefined && lastId !== undefined && Number(id) <= Number(lastId);
 
 export const createEventRelay = (afterEvent?: string): EventRelay => {
-	let rest: Uint8Array = new Uint8Array();
+	/** Chunks of an unfinished event: joined once it is whole, since it may come in very many. */
+	let rest: Uint8Array[] = [];
+	let restBytes = 0;
 	let lastId: string | undefined = afterEvent;
 	let count = 0;
 
+	const keep = (bytes: Uint8Array): void => {
+		if (bytes.length > 0) {
+			rest.push(Buffer.from(bytes));
+			restBytes += bytes.length;
+		}
+	};
+
+	/** Whether an event ends in the chunk, or between it and what came before. */
+	const hasEnd = (chunk: Uint8Array): boolean => {
+		const before = rest.at(-1)?.subarray(-1) ?? new Uint8Array();
+		return Buffer.concat([before, chunk]).includes(END_OF_EVENT);
+	};
+
 	return {
 		feed(chunk) {
-			const bytes = rest.length === 0 ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength) : Buffer.concat([rest, chunk]);
-			const end = bytes.lastIndexOf(END_OF_EVENT);
-			if (end === -1) {
-				rest = Buffer.from(bytes);
+			if (!hasEnd(chunk)) {
+				keep(chunk);
 				return undefined;
 			}
 
+			const bytes = Buffer.concat([...rest, chunk]);
+			const end = bytes.lastIndexOf(END_OF_EVENT);
+			rest = [];
+			restBytes = 0;
 			const whole = bytes.subarray(0, end + END_OF_EVENT.length);
-			rest = Buffer.from(bytes.subarray(end + END_OF_EVENT.length));
+			keep(bytes.subarray(end + END_OF_EVENT.length));
 			const events = whole.toString('latin1').split(END_OF_EVENT).slice(0, -1);
 			const fresh = events.filter(event => {
 				const id = idOf(event);
@@ -55,9 +73,11 @@
 			return fresh.length === events.length ? whole : Buffer.from(fresh.map(event => event + END_OF_EVENT).join(''), 'latin1');
 		},
 		lastId: () => lastId,
-		hasRest: () => rest.length > 0,
+		hasRest: () => restBytes > 0,
+		restBytes: () => restBytes,
 		restart() {
-			rest = new Uint8Array();
+			rest = [];
+			restBytes = 0;
 		},
 		events: () => count,
 	};
--- a/src/runtime/routing/relay-call.ts
+++ b/src/runtime/routing/relay-call.ts
@@ -16,13 +16,21 @@
 import {createStallTimer, type StallTimer} from '../entry/stall-timer.js';
 import {type Log} from '../observe/log.js';
 import {createEventRelay, type EventRelay} from './event-relay.js';
-import {type TargetWire} from './types.js';
+import {type TargetAnswerKind, type TargetWire} from './types.js';
 
 /** Plain answers up to this many bytes are checked whole before the caller gets any. */
 const MAX_COLLECTED_BYTES = 262_144;
 /** Milliseconds without a byte in the middle of a stream after which another target goes on with it, where that is allowed. */
 const STREAM_STALL_MS = 1800;
 
+/** Bytes and milliseconds of the rest of an answer that is not used, read so that the connection can be used again; a new one costs about as much. */
+const MAX_DISCARDED_BYTES = 65_536;
+const MAX_DISCARD_MS = 1000;
+/** Bytes of one event, far beyond any that an engine makes: events hold a few tokens. */
+const MAX_EVENT_BYTES = 262_144;
+/** Bytes of a plain answer that is passed on while it arrives; callers' requests may have 4 MiB at most. */
+const MAX_PASSED_BYTES = 67_108_864;
+
 /** Multiple of the target latency after which a target that has not begun to answer counts as silent. */
 const SILENT_FACTOR = 1.5;
 
@@ -64,6 +72,8 @@
 	#isStream = false;
 	#cancelled = false;
 	#hasFirstToken = false;
+	#stallBegan = false;
+	#discardTimer: NodeJS.Timeout | undefined;
 	#head: AnswerHead | undefined;
 	#chunks: Uint8Array[] = [];
 	#size = 0;
@@ -181,6 +191,7 @@
 			});
 		}
 
+		clearTimeout(this.#discardTimer);
 		this.#fail('link-broken');
 	}
 
@@ -194,6 +205,7 @@
 			observe(grant, {kind: 'load', load});
 		}
 
+		this.#noteAdvice(kind, status, headers);
 		if (kind === 'answer' || kind === 'error') {
 			this.#head = {status, headers, isError: kind === 'error'};
 			this.#isStream = kind === 'answer' && isEvents(headers);
@@ -212,17 +224,44 @@
 			observe(grant, {kind: 'misdirected'});
 		}
 
-		// The rest of the answer is read to nowhere, so that the connection can be used again.
+		// The rest of the answer is read to nowhere, so that the connection can be used again; within bounds.
+		this.#discardTimer = setTimeout(() => {
+			this.#call?.close();
+		}, MAX_DISCARD_MS);
 		this.#finish({kind: 'declined', reason: kind === 'misdirected' ? 'fenced' : 'overloaded'});
 	}
 
+	/** What a target says of itself in any answer of its own, also in one that is not used. */
+	#noteAdvice(kind: TargetAnswerKind, status: number, headers: IncomingHttpHeaders): void {
+		const {wire, grant, observe, log} = this.#options;
+		const {requestId} = this.#progress.job;
+		if (kind === 'misdirected') {
+			return;
+		}
+
+		if (wire.isLeaving(headers)) {
+			log.info('target says that it leaves', {request_id: requestId, target: grant.target});
+			observe(grant, {kind: 'leaving'});
+		}
+
+		const forMs = wire.heldOffMs(status, headers);
+		if (forMs !== undefined && kind !== 'crossed') {
+			log.info('target wants nothing for a time', {request_id: requestId, target: grant.target, for_ms: Math.round(forMs)});
+			observe(grant, {kind: 'held-off', forMs});
+		}
+	}
+
 	#onData(chunk: Uint8Array): void {
 		if (!this.#open) {
+			this.#size += chunk.length;
+			if (this.#size > MAX_DISCARDED_BYTES) {
+				this.#call?.close();
+			}
+
 			return;
 		}
 
 		if (this.#isStream) {
-			this.#stall.touch();
 			this.#relay(chunk);
 		} else {
 			this.#collect(chunk);
@@ -232,6 +271,18 @@
 	#relay(chunk: Uint8Array): void {
 		const {events, answer} = this.#progress;
 		const whole = events.feed(chunk);
+		// Only whole events are progress: single bytes may come for ever.
+		if (whole ?? !this.#stallBegan) {
+			this.#stallBegan = true;
+			this.#stall.touch();
+		}
+
+		if (events.restBytes() > MAX_EVENT_BYTES) {
+			this.#options.log.warn('event without end', {request_id: this.#progress.job.requestId, target: this.#options.grant.target, bytes: events.restBytes()});
+			this.#fail('link-broken');
+			return;
+		}
+
 		if (!whole || this.#cancelled) {
 			return;
 		}
@@ -263,7 +314,10 @@
 	#collect(chunk: Uint8Array): void {
 		const {answer, hasBegun} = this.#progress;
 		if (hasBegun) {
-			if (!answer.write(chunk)) {
+			this.#size += chunk.length;
+			if (this.#size > MAX_PASSED_BYTES) {
+				this.#fail('link-broken');
+			} else if (!answer.write(chunk)) {
 				this.#call?.pause();
 			}
 
@@ -280,6 +334,7 @@
 	}
 
 	#onEnd(): void {
+		clearTimeout(this.#discardTimer);
 		if (!this.#open) {
 			return;
 		}
--- a/standins/works/works-target.ts
+++ b/standins/works/works-target.ts
@@ -1,4 +1,5 @@
 /** Stand-in of a target on the Works' platform: streams of events and plain answers. */
+import {Buffer} from 'node:buffer';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {once} from 'node:events';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -6,7 +7,7 @@
 import {listen} from '../../src/runtime/entry/listen.js';
 
 /** What the target does with a request instead of answering it well. */
-export type TargetFault = 'decline' | 'other-process' | 'error' | 'reset' | 'break-stream' | 'pause-stream' | 'reset-without-length' | 'reset-with-last-bytes' | 'silent' | 'crossed-decline';
+export type TargetFault = 'decline' | 'other-process' | 'error' | 'reset' | 'break-stream' | 'pause-stream' | 'reset-without-length' | 'reset-with-last-bytes' | 'silent' | 'crossed-decline' | 'leaving' | 'decline-for-seconds' | 'endless-decline' | 'endless-event' | 'endless-drip';
 
 /** A request as it arrived. */
 export type Arrival = {
@@ -41,6 +42,11 @@
 /** Milliseconds of a pause in a stream, longer than a router waits before it looks for another target. */
 const PAUSE_MS = 2500;
 
+const ENDLESS_CHUNK = Buffer.alloc(65_536, 'x');
+const ONE_BYTE = Buffer.from('x');
+/** Milliseconds between single bytes. */
+const DRIP_MS = 200;
+
 /** Starts a target on loopback. */
 export const startWorksTarget = async ({id, stream, events = 8, gapMs = 5}: WorksTargetOptions): Promise<WorksTarget> => {
 	const arrivals: Arrival[] = [];
@@ -52,6 +58,7 @@
 		'x-server-stamp': `${id}.1`,
 		'x-instance-load': '1,0,8',
 		'keep-alive': 'timeout=10',
+		...(fault === 'leaving' && {'server-leaving': '1'}),
 	});
 
 	const answerEvents = async (req: IncomingMessage, res: ServerResponse, fault: TargetFault | undefined): Promise<void> => {
@@ -77,6 +84,17 @@
 		res.end();
 	};
 
+	/** Writes without end, as fast as it is read or one byte at a time, until the other side closes. */
+	const writeForever = (res: ServerResponse, bytes: Uint8Array, everyMs: number): void => {
+		const timer = setInterval(() => {
+			if (res.destroyed) {
+				clearInterval(timer);
+			} else if (!res.writableNeedDrain) {
+				res.write(bytes);
+			}
+		}, everyMs);
+	};
+
 	const fail = (req: IncomingMessage, res: ServerResponse, fault: TargetFault | undefined): boolean => {
 		switch (fault) {
 			case 'decline':
@@ -85,6 +103,25 @@
 				return true;
 			}
 
+			case 'decline-for-seconds': {
+				res.writeHead(503, {...headersOf(req, fault), 'x-not-executed': '1', 'retry-after': '1.5'}).end();
+				return true;
+			}
+
+			case 'endless-decline': {
+				res.writeHead(503, {...headersOf(req, fault), 'x-not-executed': '1'});
+				writeForever(res, ENDLESS_CHUNK, 1);
+				return true;
+			}
+
+			case 'endless-event':
+			case 'endless-drip': {
+				res.writeHead(200, {...headersOf(req, fault), 'content-type': 'text/event-stream'});
+				res.write('id: 1\ndata: ');
+				writeForever(res, fault === 'endless-event' ? ENDLESS_CHUNK : ONE_BYTE, fault === 'endless-event' ? 1 : DRIP_MS);
+				return true;
+			}
+
 			case 'other-process': {
 				res.writeHead(421, headersOf(req, fault)).end();
 				return true;
@@ -120,6 +157,7 @@
 
 			case 'break-stream':
 			case 'pause-stream':
+			case 'leaving':
 			case undefined: {
 				return false;
 			}
@@ -129,7 +167,7 @@
 	const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
 		const body = await buffer(req);
 		const fault = faults.shift();
-		const ran = fault !== 'decline' && fault !== 'crossed-decline' && fault !== 'other-process';
+		const ran = fault !== 'decline' && fault !== 'decline-for-seconds' && fault !== 'endless-decline' && fault !== 'crossed-decline' && fault !== 'other-process';
 		arrivals.push({
 			method: req.method ?? '', path: req.url ?? '', headers: req.headers, body: body.toString(), ran,
 		});
--- /dev/null
+++ b/test/platform/hostile-targets.test.ts
@@ -0,0 +1,100 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import test from 'ava';
+import {
+	startPlatform, until, wholeStream, type Platform,
+} from './_platform.js';
+
+const MODEL_PATH = '/brief/x';
+const streamHeaders = {'x-model': 'm', 'x-token-count': '100,8', 'x-prompt-prefix': 'aa:50,bb:50'};
+
+const stream = async ({call}: Platform) => call(MODEL_PATH, {method: 'POST', body: '{}', headers: streamHeaders});
+const arrivalsAt = (targets: Platform['models']) => targets.map(target => target.arrivals().length);
+
+test('a target that says in an answer that it leaves gets no other request', async t => {
+	const platform = await startPlatform(t);
+	const {models} = platform;
+	for (const target of models) {
+		target.failNext('leaving');
+	}
+
+	const first = await stream(platform);
+	t.is(first.body, wholeStream);
+	const left = models.findIndex(target => target.arrivals().length === 1);
+	models[1 - left]!.failNext();
+	const before = models[left]!.arrivals().length;
+	for (let count = 0; count < 6; count++) {
+		await stream(platform); // eslint-disable-line no-await-in-loop
+	}
+
+	t.is(models[left]!.arrivals().length, before);
+});
+
+test('a new run under the same id is used again', async t => {
+	const platform = await startPlatform(t);
+	const {models, announce} = platform;
+	for (const target of models) {
+		target.failNext('leaving');
+	}
+
+	await stream(platform);
+	await stream(platform);
+	t.deepEqual(arrivalsAt(models), [1, 1]);
+	const none = await stream(platform);
+	t.is(none.status, 503);
+	for (const target of models) {
+		announce(target, {born: 2000, sequence: 0});
+	}
+
+	await until(t, async () => {
+		const {status} = await stream(platform);
+		return status === 200;
+	}, 'served by the new run');
+});
+
+test('a target that asks to be left alone for a time gets nothing until then, and its caller hears when to come back', async t => {
+	const platform = await startPlatform(t);
+	const {models} = platform;
+	for (const target of models) {
+		target.failNext('decline-for-seconds');
+	}
+
+	const startMs = performance.now();
+	const first = await stream(platform);
+	t.is(first.status, 503);
+	t.true(performance.now() - startMs < 600, 'refused at once');
+	t.true(Number(first.headers['retry-after']) >= 0.5 && Number(first.headers['retry-after']) <= 1.5);
+	const before = arrivalsAt(models);
+	const second = await stream(platform);
+	t.is(second.status, 503);
+	t.deepEqual(arrivalsAt(models), before);
+	await delay(1600);
+	const third = await stream(platform);
+	t.is(third.body, wholeStream);
+});
+
+test('the rest of an answer that is not used is not read without end', async t => {
+	const platform = await startPlatform(t);
+	for (const target of platform.models) {
+		target.failNext('endless-decline');
+	}
+
+	const {status} = await stream(platform);
+	t.is(status, 503);
+	await until(t, () => platform.models.every(target => target.cancelled() === target.arrivals().length), 'connections closed');
+});
+
+for (const fault of ['endless-event', 'endless-drip'] as const) {
+	test(`a stream goes on elsewhere when its event never ends: ${fault}`, async t => {
+		const platform = await startPlatform(t);
+		const {models} = platform;
+		for (const target of models) {
+			target.failNext(fault);
+		}
+
+		const startMs = performance.now();
+		const first = await stream(platform);
+		t.true(performance.now() - startMs < 6000);
+		t.true(first.status !== 200 || first.body === wholeStream || first.cut);
+		await until(t, () => models.filter(target => target.arrivals().length > 0).every(target => target.cancelled() > 0), 'connection closed');
+	});
+}
