A target that is gone is gone though one VM can't reach the store

Cause: a VM whose store turned it away said so in its reports, and all other VMs then kept removed targets for 2.5 s, as after an outage.

What VMs tell each other is now how long ago the store last answered any VM; only if no VM had an answer for 3 s was the store away. Ruled out: late news (the removal was known at once). Test: 'a target whose entry is removed is gone at once, though some VM can't reach the store'.

--- a/src/core/news/types.ts
+++ b/src/core/news/types.ts
@@ -3,8 +3,8 @@
 /** Versions only grow; a table's is that of its last known change. */
 export type NewsWord = {
 	readonly versions: ReadonlyMap<string, number>;
-	/** Whether the sender can't reach the store. */
-	readonly isLost: boolean;
+	/** Milliseconds since the store last answered any VM that the sender knows of. */
+	readonly storeAgeMs: number;
 };
 
 export type FollowMessage =
--- a/src/core/placement/target-ledger.ts
+++ b/src/core/placement/target-ledger.ts
@@ -10,7 +10,7 @@
 import {type Prompt} from '../dispatch/types.js';
 import {type RoutedService} from '../routing/types.js';
 import {createPromptRecord, type PromptRecord} from './prompt-record.js';
-import {createReadRate, type ReadRate} from './read-rate.js';
+import {ALL_KNOWN, createReadRate, type ReadRate} from './read-rate.js';
 import {hasRoom, startsInTime, type StartPrediction} from './start-limits.js';
 
 /** Milliseconds after its latency target and the longest stream for which a request without word of its end counts. */
@@ -85,7 +85,7 @@
 		this.#target = target;
 		this.#beganMs = nowMs;
 		this.#prompts = createPromptRecord(capacityTokens);
-		this.#rate = createReadRate(tokensPerMs);
+		this.#rate = createReadRate(ALL_KNOWN, tokensPerMs);
 	}
 
 	/** Requests that were let in and have not ended. */
--- a/src/runtime/routing/load-exchange.ts
+++ b/src/runtime/routing/load-exchange.ts
@@ -79,7 +79,7 @@
 				onObserved(report.observed);
 				onLeavingTargets(report.leaving.map(({target, bornMs}) => ({target, bornMs: Number(bornMs)})));
 				onNewsWord({
-					isLost: report.storeLost, versions: new Map(report.tables.map(({table, version}) => [table, Number(version)])),
+					storeAgeMs: report.storeAgeMs, versions: new Map(report.tables.map(({table, version}) => [table, Number(version)])),
 				});
 			}
 
@@ -114,9 +114,9 @@
 		loads.expire(clock.nowMs(), plan.validMs, plan.isWhole ? undefined : addresses.length);
 		const told = contents(plan.isWhole);
 		if (addresses.length > 0) {
-			const {versions, isLost} = newsWord();
+			const {versions, storeAgeMs} = newsWord();
 			const report = create(LoadReportSchema, {
-				storeLost: isLost,
+				storeAgeMs: Math.round(storeAgeMs),
 				leaving: leavingTargets().map(({target, bornMs}) => ({target, bornMs: BigInt(bornMs)})),
 				tables: [...versions].map(([table, version]) => ({table, version: BigInt(version)})),
 				incarnation, sequence: ++sequence, ...told,
--- a/test/platform/fleet-source.test.ts
+++ b/test/platform/fleet-source.test.ts
@@ -1,5 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
 import {createFleetSource} from '../../platform/fleet-source.js';
 import {createStoreClient} from '../../platform/store-client.js';
 import {type FleetNews} from '../../src/core/routing/types.js';
@@ -85,3 +85,34 @@
 	await delay(1500);
 	t.true(news.some(({kind}) => kind === 'all-targets'), 'read soon after the return');
 });
+
+const leavingTarget = async (t: ExecutionContext, storeAgeMs: number) => {
+	const store = await startWorksStore();
+	store.put('servers', 'leaves', {
+		service: 'tariff', address: '127.0.0.1:1', zone: 'dc-a', version: 'v1', slots: 8, state: 'ready', cold_remaining_ms: 0, sequence: 1, born: 1000,
+	});
+	const source = sourceOf(store);
+	const news: FleetNews[] = [];
+	source.start(item => {
+		news.push(item);
+	});
+	t.teardown(async () => {
+		await source.stop();
+		await store.close();
+	});
+	await until(t, () => news.some(({kind}) => kind === 'all-targets'), 'targets read');
+	const startMs = performance.now();
+	const timer = setInterval(() => {
+		source.onWord({versions: new Map(), storeAgeMs: storeAgeMs + performance.now() - startMs});
+	}, 50);
+	await delay(300);
+	store.drop('servers', 'leaves');
+	const droppedMs = performance.now();
+	await until(t, () => news.some(item => item.kind === 'target-gone' && item.id === 'leaves'), 'told as gone');
+	clearInterval(timer);
+	return performance.now() - droppedMs;
+};
+
+test('a target whose entry is removed is gone at once, though some VM can\'t reach the store', async t => {
+	t.true(await leavingTarget(t, 20_000) < 1000);
+});
