--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -4,14 +4,15 @@
  * can start in time wait; the team that received least lately goes first, here and
  * before teams of other VMs that received more.
  */
-import {type RoutedService, type TargetRecord} from '../routing/types.js';
-import {type FleetLoads, type TargetLoad, type TeamLoad} from './fleet-loads.js';
+import {type RoutedService} from '../routing/types.js';
+import {type FleetLoads, type TeamLoad} from './fleet-loads.js';
 import {coldLimit} from './cold-limit.js';
 import {planExchange} from './exchange-plan.js';
 import {
 	type LeavingTarget, type ObservedLoad, type PlacementEffect, type PlacementMessage,
 } from './messages.js';
-import {PlacedTarget, type DoubtTimes} from './placed-target.js';
+import {KnownTargets} from './known-targets.js';
+import {type PlacedTarget} from './placed-target.js';
 import {createPromptRecord, type PromptRecord, type SentPrompt} from './prompt-record.js';
 import {createReadRate, type ReadRate} from './read-rate.js';
 import {
@@ -34,8 +35,6 @@
 const LOOK_AHEAD = 4;
 /** Milliseconds after which a waiting team is reported to the other VMs. */
 const WAITS_AFTER_MS = 60;
-/** Milliseconds for which other VMs are told that a target leaves: some reports of a large fleet. */
-const LEAVING_TOLD_MS = 3000;
 /** Retry-After bounds in milliseconds. */
 const MIN_RETRY_AFTER_MS = 300;
 const MAX_RETRY_AFTER_MS = 2000;
@@ -72,41 +71,38 @@
 export class ServicePlacement {
 	#service: RoutedService;
 	readonly #options: ServicePlacementOptions;
-	readonly #targets = new Map<string, PlacedTarget>();
+	readonly #known: KnownTargets;
 	readonly #queues = new TeamQueues();
 	readonly #shares: TeamShares;
 	readonly #prompts: PromptRecord = createPromptRecord(() => this.#service.engine?.kvCapacityTokens ?? 0);
 	readonly #readRate: ReadRate = createReadRate();
-	#out: ReadonlySet<string> = new Set();
 	#homes: readonly PlacedTarget[] = [];
 	#homesOfPrompt = new Map<number, readonly PlacedTarget[]>();
 	readonly #sent = createSentPrompts();
 	readonly #reservations: Reservations;
-	#observedToldMs = -Infinity;
 
 	constructor(options: ServicePlacementOptions) {
 		this.#options = options;
 		this.#service = options.service;
+		this.#known = new KnownTargets(() => ({coldStartMs: this.#service.coldStartMs, heartbeatMs: options.bounds.heartbeatMs}));
 		this.#shares = new TeamShares({
 			service: options.service.name, fleet: options.fleet, capacityPerS: () => this.#service.tokensPerS,
 		});
 		this.#reservations = new Reservations({
-			vm: options.vm, vms: options.vms, service: () => this.#service, targetOf: id => this.#targets.get(id), tokensPerMs: () => this.#readRate.tokensPerMs(),
+			vm: options.vm, vms: options.vms, service: () => this.#service, targetOf: id => this.#known.get(id), tokensPerMs: () => this.#readRate.tokensPerMs(),
 		});
 	}
 
+	/** The targets of the service. */
+	get known(): KnownTargets {
+		return this.#known;
+	}
+
 	/** Asks that wait. */
 	get waiting(): number {
 		return this.#queues.size;
 	}
 
-	/** What this VM reports of its requests at each target. */
-	targetLoads(): readonly TargetLoad[] {
-		return this.targets().filter(({running}) => running > 0).map(({record, running, readingTokens, heldTokens}) => ({
-			target: record.id, running, readingTokens, heldTokens,
-		}));
-	}
-
 	/** What this VM reports of its teams. */
 	teamLoads(nowMs: number): readonly TeamLoad[] {
 		const sums = this.#shares.own(nowMs);
@@ -121,39 +117,6 @@
 		return this.#sent.take();
 	}
 
-	/** What targets said of their load since the last call, for the report to the other VMs. */
-	takeObserved(nowMs: number): readonly ObservedLoad[] {
-		const sinceMs = this.#observedToldMs;
-		this.#observedToldMs = nowMs;
-		return this.targets().flatMap(target => {
-			const load = target.loadSince(sinceMs);
-			return load
-				? {
-					target: target.record.id, running: load.running, waiting: load.waiting, ageMs: nowMs - load.atMs,
-				}
-				: [];
-		});
-	}
-
-	/** Whether a request may still be sent to a target; asked right before its first byte. */
-	isOpen(id: string, nowMs: number): boolean {
-		const target = this.#targets.get(id);
-		return target !== undefined && !target.isLeaving && target.heldOffMs(nowMs) === 0;
-	}
-
-	/** Targets whose answers have begun to say that they leave, for the report to the other VMs. */
-	leavingTargets(nowMs: number): readonly LeavingTarget[] {
-		return this.targets().filter(target => target.hasBegunToLeave(LEAVING_TOLD_MS, nowMs)).map(({record}) => ({target: record.id, bornMs: record.bornMs}));
-	}
-
-	targets(): readonly PlacedTarget[] {
-		return [...this.#targets.values()];
-	}
-
-	get #doubtTimes(): DoubtTimes {
-		return {coldStartMs: this.#service.coldStartMs, heartbeatMs: this.#options.bounds.heartbeatMs};
-	}
-
 	/** Handles one message. Asks that have to wait start at a later `tick`. */
 	handle(message: PlacementMessage, nowMs: number): readonly PlacementEffect[] {
 		switch (message.kind) {
@@ -162,19 +125,18 @@
 				return [];
 			}
 
-			case 'target': {
-				this.#onTarget(message.target, nowMs);
-				return [];
-			}
-
-			case 'target-gone': {
-				this.#targets.delete(message.id);
-				this.#forgetPrompts(message.id);
-				return [];
-			}
+			case 'target':
+			case 'target-gone':
+			case 'data-centres-out':
+			case 'observed-elsewhere':
+			case 'leaving-elsewhere':
+			case 'unreachable':
+			case 'targets-current': {
+				for (const id of this.#known.handle(message, nowMs)) {
+					this.#prompts.forget(id);
+					this.#reservations.forget(id);
+				}
 
-			case 'data-centres-out': {
-				this.#out = message.names;
 				return [];
 			}
 
@@ -198,43 +160,13 @@
 			}
 
 			case 'sent-elsewhere': {
-				if (this.#targets.has(message.sent.target)) {
+				if (this.#known.get(message.sent.target)) {
 					this.#prompts.noteSent(message.sent, nowMs);
 				}
 
 				return [];
 			}
 
-			case 'observed-elsewhere': {
-				for (const {target, ageMs, ...load} of message.loads) {
-					this.#targets.get(target)?.noteLoad(load, nowMs - ageMs, false);
-				}
-
-				return [];
-			}
-
-			case 'leaving-elsewhere': {
-				const target = this.#targets.get(message.leaving.target);
-				if (target?.record.bornMs === message.leaving.bornMs) {
-					target.noteLeaving(nowMs);
-				}
-
-				return [];
-			}
-
-			case 'unreachable': {
-				this.#targets.get(message.target)?.noteUnreachable(nowMs);
-				return [];
-			}
-
-			case 'targets-current': {
-				for (const target of this.#targets.values()) {
-					target.noteEntryRead(this.#doubtTimes, nowMs);
-				}
-
-				return [];
-			}
-
 			case 'peer': {
 				return this.#onPeer(message.from, message.message, nowMs);
 			}
@@ -246,17 +178,6 @@
 		}
 	}
 
-	#onTarget(record: TargetRecord, nowMs: number): void {
-		const known = this.#targets.get(record.id);
-		if (!known) {
-			this.#targets.set(record.id, new PlacedTarget(record, nowMs));
-		} else if (known.update(record, nowMs)) {
-			this.#forgetPrompts(record.id);
-		} else {
-			known.noteEntryRead(this.#doubtTimes, nowMs);
-		}
-	}
-
 	/** Starts the ask at once when nothing waits, else lets it wait for its turn. */
 	#onAsk(ask: PlacedAsk, nowMs: number): readonly PlacementEffect[] {
 		const ctx = this.#context(nowMs);
@@ -351,7 +272,7 @@
 	#onOverdue(nowMs: number): readonly PlacementEffect[] {
 		const effects: PlacementEffect[] = [];
 		for (const {id, ask, candidate} of this.#reservations.takeOverdue(nowMs)) {
-			if (candidate.fits && this.#targets.get(candidate.target.record.id) === candidate.target) {
+			if (candidate.fits && this.#known.get(candidate.target.record.id) === candidate.target) {
 				effects.push(this.#grant(id, ask, candidate, nowMs));
 			} else {
 				this.#queues.add(ask);
@@ -361,13 +282,8 @@
 		return effects;
 	}
 
-	#forgetPrompts(target: string): void {
-		this.#prompts.forget(target);
-		this.#reservations.forget(target);
-	}
-
 	#onEnd({grantId, target: id, result}: Message<'end'>, nowMs: number): void {
-		const target = this.#targets.get(id);
+		const target = this.#known.get(id);
 		if (!target) {
 			return;
 		}
@@ -384,7 +300,7 @@
 	}
 
 	#onObserve({grantId, target: id, observation}: Message<'observe'>, nowMs: number): void {
-		const target = this.#targets.get(id);
+		const target = this.#known.get(id);
 		if (!target) {
 			return;
 		}
@@ -444,7 +360,7 @@
 		const {coldPerS} = this.#service;
 		const {isWhole} = planExchange(vms.length - 1);
 		const {newTokens, heldTokens} = this.#sent.averages();
-		const targets = this.targets().filter(({record, isMisdirected, isLeaving}) => !record.isDraining && !isLeaving && !isMisdirected && !this.#out.has(record.dataCentre));
+		const targets = this.#known.usable();
 		const homes = targets.filter(target => !target.isCold(nowMs));
 		if (homes.length !== this.#homes.length || homes.some((home, index) => home !== this.#homes[index])) {
 			this.#homes = homes;
@@ -552,7 +468,7 @@
 
 	/** Time until what is being read now has been read, on average over the targets. */
 	#retryAfterMs(): number {
-		const targets = this.targets();
+		const targets = this.#known.all();
 		const tokens = targets.reduce((sum, target) => sum + target.readingTokens, 0) / Math.max(1, targets.length);
 		return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, tokens / this.#readRate.tokensPerMs()));
 	}
--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -106,10 +106,19 @@
 	readonly givesWay: boolean;
 };
 
-const candidateAt = (target: PlacedTarget, {ask, keys, sharedTokens, keeper, others, givesWay}: Consideration, ctx: ChoiceContext): Candidate => {
+/** Milliseconds that a request costs at a target beyond the time until its first token, as a price. */
+const priceBeyondStart = (target: PlacedTarget, {ask: {prompt}, others, keeper}: Consideration, {lacking, dataCentre}: {readonly lacking: number; readonly dataCentre: string}): number => {
+	const isAway = keeper !== undefined && keeper.target !== target;
+	return ((target.running + others.running) * (RUNNING_PRICE_MS + ((prompt?.outputTokens ?? 0) * RUNNING_PRICE_MS_PER_TOKEN)))
+		+ (target.record.dataCentre === dataCentre ? 0 : OTHER_DATA_CENTRE_PRICE_MS)
+		+ (isAway && lacking > 0 ? AWAY_PRICE_MS + (lacking * COPY_PRICE_MS_PER_TOKEN) : 0)
+		+ (target.isDoubtful ? DOUBT_PRICE_MS : 0);
+};
+
+const candidateAt = (target: PlacedTarget, consideration: Consideration, ctx: ChoiceContext): Candidate => {
+	const {ask, keys, sharedTokens, keeper, others, givesWay} = consideration;
 	const {prompt} = ask;
 	const {service, prompts, tokensPerMs, dataCentre, nowMs} = ctx;
-	const isAway = keeper !== undefined && keeper.target !== target;
 	const recorded = prompt ? prompts.keptTokens(target.record.id, prompt, keys, nowMs) : 0;
 	const own = ctx.isSampled && keeper?.target === target ? sharedTokens : recorded;
 	const source = service.engine?.canCopyPrompts === true && keeper && keeper.copyableTokens >= own + MIN_COPY_TOKENS ? keeper.source : undefined;
@@ -128,11 +137,7 @@
 		copiedTokens: source && keeper ? keeper.copyableTokens : 0,
 		isHome: keeper?.target === target,
 		fits: hasRoom(ask, occupied(target, others), {service, ...terms}) && startsInTime(ask, {waitedMs, predictedMs, ownMs}, terms),
-		price: predictedMs
-			+ ((target.running + others.running) * (RUNNING_PRICE_MS + ((prompt?.outputTokens ?? 0) * RUNNING_PRICE_MS_PER_TOKEN)))
-			+ (target.record.dataCentre === dataCentre ? 0 : OTHER_DATA_CENTRE_PRICE_MS)
-			+ (isAway && lacking > 0 ? AWAY_PRICE_MS + (lacking * COPY_PRICE_MS_PER_TOKEN) : 0)
-			+ (target.isDoubtful ? DOUBT_PRICE_MS : 0),
+		price: predictedMs + priceBeyondStart(target, consideration, {lacking, dataCentre}),
 		reason: {
 			predictedMs,
 			keptTokens,
--- /dev/null
+++ b/src/runtime/routing/placement-fields.ts
@@ -0,0 +1,47 @@
+/** Fields of the log lines that tell what was decided of a request, with the inputs that decided it. */
+import {type PlacementEffect} from '../../core/placement/messages.js';
+
+type Reject = Extract<PlacementEffect, {kind: 'reject'}>;
+type Granted = Extract<PlacementEffect, {kind: 'grant'}>;
+
+/** Of the owner that declined the request last. */
+const declineFields = ({lastDecline}: Reject) => lastDecline && {
+	declined_by: lastDecline.target,
+	declined_running: lastDecline.running,
+	declined_reading_tokens: lastDecline.readingTokens,
+	declined_predicted_ms: Math.round(lastDecline.predictedMs),
+	new_tokens: lastDecline.newTokens,
+};
+
+export const rejectFields = (service: string, effect: Reject, nowMs: number) => ({
+	request_id: effect.ask.requestId,
+	service,
+	reason: effect.reason,
+	gives_way: effect.givesWay,
+	...(effect.closed && {
+		targets: effect.closed.targets,
+		passed_over: effect.closed.passedOver,
+		closed_cold: effect.closed.cold,
+		closed_doubtful: effect.closed.doubtful,
+		full: effect.closed.full,
+		late: effect.closed.late,
+	}),
+	...declineFields(effect),
+	retry_after_ms: Math.round(effect.retryAfterMs),
+	waited_ms: Math.round(nowMs - effect.ask.arrivedMs),
+});
+
+export const grantFields = (service: string, {ask, target, because}: Granted) => ({
+	request_id: ask.requestId,
+	service,
+	target: target.id,
+	predicted_ms: Math.round(because.predictedMs),
+	kept_tokens: because.keptTokens,
+	copy_from: because.copyFrom?.id,
+	running: because.running,
+	others: because.othersRunning,
+	cold: because.isCold,
+	gives_way: because.givesWay,
+	heartbeat_age_ms: Math.round(because.heartbeatAgeMs),
+	waited_ms: Math.round(because.waitedMs),
+});
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -14,6 +14,7 @@
 import {type FleetNews} from '../../core/routing/types.js';
 import {type Log} from '../observe/log.js';
 import {type FleetView} from './fleet-view.js';
+import {grantFields, rejectFields} from './placement-fields.js';
 
 /** Milliseconds between looks at what waits, while something waits. */
 const TICK_MS = 5;
@@ -89,45 +90,14 @@
 			const waiter = waiters.get(effect.ask.requestId);
 			waiters.delete(effect.ask.requestId);
 			if (effect.kind === 'reject') {
-				log.info('request not placed', {
-					request_id: effect.ask.requestId,
-					service,
-					reason: effect.reason,
-					gives_way: effect.givesWay,
-					targets: effect.closed?.targets,
-					passed_over: effect.closed?.passedOver,
-					closed_cold: effect.closed?.cold,
-					closed_doubtful: effect.closed?.doubtful,
-					full: effect.closed?.full,
-					late: effect.closed?.late,
-					declined_by: effect.lastDecline?.target,
-					declined_running: effect.lastDecline?.running,
-					declined_reading_tokens: effect.lastDecline?.readingTokens,
-					declined_predicted_ms: effect.lastDecline && Math.round(effect.lastDecline.predictedMs),
-					new_tokens: effect.lastDecline?.newTokens,
-					retry_after_ms: Math.round(effect.retryAfterMs),
-					waited_ms: Math.round(clock.nowMs() - effect.ask.arrivedMs),
-				});
+				log.info('request not placed', rejectFields(service, effect, clock.nowMs()));
 				waiter?.reject(new RefusalError(effect.reason === 'no-target' ? NoTarget : DeadlinePassed, {service}, {retryAfterMs: effect.retryAfterMs}));
 				continue;
 			}
 
 			const {target, grantId, because} = effect;
 			log.routine('request placed', {
-				request_id: effect.ask.requestId,
-				service,
-				target: target.id,
-				predicted_ms: Math.round(because.predictedMs),
-				kept_tokens: because.keptTokens,
-				copy_from: because.copyFrom?.id,
-				running: because.running,
-				others: because.othersRunning,
-				cold: because.isCold,
-				gives_way: because.givesWay,
-				heartbeat_age_ms: Math.round(because.heartbeatAgeMs),
-				vms_heard: loads.heard,
-				config_version: view.inForce()?.config.version,
-				waited_ms: Math.round(because.waitedMs),
+				...grantFields(service, effect), vms_heard: loads.heard, config_version: view.inForce()?.config.version,
 			});
 			serviceOfGrant.set(grantId, service);
 			waiter?.resolve({
@@ -210,7 +180,7 @@
 		isValid({target: id, expiresAtMs}) {
 			const target = view.targets().get(id);
 			return target !== undefined && !target.isDraining && !view.isOut(target.dataCentre) && clock.nowMs() < expiresAtMs
-				&& placements.get(target.service)?.isOpen(id, clock.nowMs()) === true;
+				&& placements.get(target.service)?.known.isOpen(id, clock.nowMs()) === true;
 		},
 		end({grantId, target}, result) {
 			const service = serviceOfGrant.get(grantId);
@@ -266,16 +236,16 @@
 		stop() {
 			clearTimeout(timer);
 		},
-		targetLoads: () => [...placements.values()].flatMap(placement => placement.targetLoads()),
+		targetLoads: () => [...placements.values()].flatMap(placement => placement.known.loads()),
 		teamLoads: () => [...placements.values()].flatMap(placement => placement.teamLoads(clock.nowMs())),
 		takeSentPrompts: () => [...placements.values()].flatMap(placement => placement.takeSentPrompts()),
-		takeObserved: () => [...placements.values()].flatMap(placement => placement.takeObserved(clock.nowMs())),
+		takeObserved: () => [...placements.values()].flatMap(placement => placement.known.takeObserved(clock.nowMs())),
 		onObserved(observed) {
 			if (observed.length > 0) {
 				tellAll({kind: 'observed-elsewhere', loads: observed});
 			}
 		},
-		leavingTargets: () => [...placements.values()].flatMap(placement => placement.leavingTargets(clock.nowMs())),
+		leavingTargets: () => [...placements.values()].flatMap(placement => placement.known.leaving(clock.nowMs())),
 		onLeavingTargets(targets) {
 			for (const leaving of targets) {
 				const service = view.targets().get(leaving.target)?.service;
--- a/test/placement/_fleet-model.ts
+++ b/test/placement/_fleet-model.ts
@@ -156,7 +156,7 @@
 			at(nowMs, () => {
 				tell(vm, {kind: 'tick'}, nowMs);
 				if ((nowMs + (vm * TICK_MS)) % WORD_EVERY_MS === 0) {
-					const loads = vms[vm]!.takeObserved(nowMs);
+					const loads = vms[vm]!.known.takeObserved(nowMs);
 					for (let peer = 0; peer < WORD_PEERS; peer++) {
 						tell(Math.floor(random.uniform() * size), {kind: 'observed-elsewhere', loads}, nowMs);
 					}
