Refuse a reserved prompt when it can't be in time any more, not at a fixed part of its latency target

A long prompt that waits cannot start in time once its own reading takes what is left; it was held until 0.8 of the target. It is refused then, 0.3 of the target at the earliest, so that its caller comes back sooner.

--- a/src/core/placement/reservations.ts
+++ b/src/core/placement/reservations.ts
@@ -93,6 +93,12 @@
 		return nowMs < (this.#tries.get(requestId)?.notBeforeMs ?? -Infinity);
 	}
 
+	/** Milliseconds that a request's own prompt takes to read, going by the last owner that declined it. */
+	ownMsOf({requestId}: PlacedAsk): number {
+		const last = this.#tries.get(requestId)?.last;
+		return last ? last.predictedMs * last.newTokens / Math.max(1, last.readingTokens + last.newTokens) : 0;
+	}
+
 	/** What the last owner that declined a request said; the request is forgotten. */
 	takeLastDecline(requestId: string): LastDecline | undefined {
 		const last = this.#tries.get(requestId)?.last;
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -26,9 +26,15 @@
 import {TeamShares} from './team-shares.js';
 import {type FleetBounds, type PlacedAsk} from './types.js';
 
-/** Part of the target latency for which a request waits before it is refused, and that of a prompt for which room is reserved. */
+/** Part of the target latency for which a request waits before it is refused. */
 const WAIT_SHARE = 0.6;
-const RESERVED_WAIT_SHARE = 0.8;
+/**
+ * Parts for a prompt for which room is reserved: until then it may start, with the time that
+ * its own reading takes, and it waits for the least part in any case. One that can't be in
+ * time any more is refused then, not later, so that its caller can come back.
+ */
+const RESERVED_START_SHARE = 0.75;
+const RESERVED_MIN_WAIT_SHARE = 0.3;
 /** The same for a request whose caller has part of the answer: the rest is late already, and callers wait longer in mid-answer. */
 const RESUME_WAIT_SHARE = 2;
 /** Asks of one team that are looked at in one round; the first that can start does. */
@@ -60,11 +66,9 @@
 /** Cost of a request for its team's share: a token read counts once, a token generated twice. */
 const costOf = ({prompt}: PlacedAsk): number => prompt ? prompt.tokens + (2 * prompt.outputTokens) : 1;
 
-/** Reading of the clock at which a request that still waits is refused. */
-const waitEndMs = ({deadlineMs, arrivedMs, targetLatencyMs, isResumed}: PlacedAsk, isReserved: boolean): number => {
-	const share = isReserved ? RESERVED_WAIT_SHARE : WAIT_SHARE;
-	return Math.min(deadlineMs, arrivedMs + (targetLatencyMs * (isResumed ? RESUME_WAIT_SHARE : share)));
-};
+/** Reading of the clock at which a request that still waits is refused. `share` is that of the target latency for a request that has not begun. */
+const waitEndMs = ({deadlineMs, arrivedMs, targetLatencyMs, isResumed}: PlacedAsk, share: number): number =>
+	Math.min(deadlineMs, arrivedMs + (targetLatencyMs * (isResumed ? RESUME_WAIT_SHARE : share)));
 
 const toPeers = (outgoing: readonly Outgoing[]): readonly PlacementEffect[] => outgoing.map(({vm, message}) => ({kind: 'tell-peer', vm, message}));
 
@@ -451,7 +455,7 @@
 
 	#expire(nowMs: number): readonly PlacementEffect[] {
 		const isReserved = this.#isReserved();
-		const late = this.#queues.remove(ask => nowMs >= waitEndMs(ask, isReserved && ask.prompt !== undefined));
+		const late = this.#queues.remove(ask => nowMs >= waitEndMs(ask, isReserved && ask.prompt ? this.#reservedWaitShare(ask) : WAIT_SHARE));
 		if (late.length === 0) {
 			return [];
 		}
@@ -466,6 +470,10 @@
 		});
 	}
 
+	#reservedWaitShare(ask: PlacedAsk): number {
+		return Math.max(RESERVED_MIN_WAIT_SHARE, RESERVED_START_SHARE - (this.#reservations.ownMsOf(ask) / ask.targetLatencyMs));
+	}
+
 	/** Time until what is being read now has been read, on average over the targets. */
 	#retryAfterMs(): number {
 		const targets = this.#known.all();
