--- a/src/core/placement/messages.ts
+++ b/src/core/placement/messages.ts
@@ -43,7 +43,16 @@
 	/** Goes to another VM as soon as possible; it may be lost. */
 	| ({readonly kind: 'tell-peer'} & Outgoing)
 	| {readonly kind: 'grant'; readonly ask: PlacedAsk; readonly grantId: string; readonly target: TargetRecord; readonly because: PlacementReason}
-	| {readonly kind: 'reject'; readonly ask: PlacedAsk; readonly reason: 'no-target' | 'too-late'; readonly retryAfterMs: number; readonly givesWay: boolean; readonly closed?: Closed; readonly lastDecline?: LastDecline | undefined};
+	| {
+		readonly kind: 'reject';
+		readonly ask: PlacedAsk;
+		readonly reason: 'no-target' | 'too-late';
+		readonly retryAfterMs: number;
+		readonly givesWay: boolean;
+		readonly closed?: Closed;
+		/** What the last owner that declined it said, in a large fleet. */
+		readonly lastDecline?: LastDecline | undefined;
+	};
 
 /** The inputs that decided a placement, for the log. */
 export type PlacementReason = {
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -176,12 +176,16 @@
 			}
 
 			case 'tick': {
-				const overdue = this.#reservations.isWaiting ? this.#onOverdue(nowMs) : [];
-				return this.#queues.isEmpty ? overdue : [...overdue, ...this.#expire(nowMs), ...this.#dispatch(nowMs)];
+				return this.#onTick(nowMs);
 			}
 		}
 	}
 
+	#onTick(nowMs: number): readonly PlacementEffect[] {
+		const overdue = this.#reservations.isWaiting ? this.#onOverdue(nowMs) : [];
+		return this.#queues.isEmpty ? overdue : [...overdue, ...this.#expire(nowMs), ...this.#dispatch(nowMs)];
+	}
+
 	/** Starts the ask at once when nothing waits, else lets it wait for its turn. */
 	#onAsk(ask: PlacedAsk, nowMs: number): readonly PlacementEffect[] {
 		const ctx = this.#context(nowMs);
--- a/standins/works/works-target.ts
+++ b/standins/works/works-target.ts
@@ -7,7 +7,22 @@
 import {listen} from '../../src/runtime/entry/listen.js';
 
 /** What the target does with a request instead of answering it well. */
-export type TargetFault = 'decline' | 'other-process' | 'error' | 'reset' | 'break-stream' | 'pause-stream' | 'reset-without-length' | 'reset-with-last-bytes' | 'silent' | 'crossed-decline' | 'leaving' | 'decline-for-seconds' | 'endless-decline' | 'endless-event' | 'endless-drip';
+export type TargetFault =
+	| 'decline'
+	| 'other-process'
+	| 'error'
+	| 'reset'
+	| 'break-stream'
+	| 'pause-stream'
+	| 'reset-without-length'
+	| 'reset-with-last-bytes'
+	| 'silent'
+	| 'crossed-decline'
+	| 'leaving'
+	| 'decline-for-seconds'
+	| 'endless-decline'
+	| 'endless-event'
+	| 'endless-drip';
 
 /** A request as it arrived. */
 export type Arrival = {
--- a/test/news/_model.ts
+++ b/test/news/_model.ts
@@ -46,7 +46,13 @@
 	let behindMs = 0;
 	const words: Array<{readonly to: number; readonly atMs: number; readonly version: number}> = [];
 	const vms: Vm[] = Array.from({length: size}, () => ({
-		follower: new NewsFollower({pauseMs: 500, vms: () => size, random: () => random.uniform()}), open: undefined, wakes: [], applied: 0, pausedUntilMs: -1, disturbedMs: 0, behindSinceMs: undefined,
+		follower: new NewsFollower({pauseMs: 500, vms: () => size, random: () => random.uniform()}),
+		open: undefined,
+		wakes: [],
+		applied: 0,
+		pausedUntilMs: -1,
+		disturbedMs: 0,
+		behindSinceMs: undefined,
 	}));
 
 	const perform = (vm: Vm, effects: readonly FollowEffect[], nowMs: number): void => {
