--- a/src/runtime/entry/attempt-task.ts
+++ b/src/runtime/entry/attempt-task.ts
@@ -36,6 +36,8 @@
 	#call: RunningCall | undefined;
 	#claim: Promise<Claim> | undefined;
 	#lastTarget: string | undefined;
+	/** From arrival to the first part of the answer. */
+	#firstPartMs: number | undefined;
 	readonly #tried: string[] = [];
 	readonly #createCall: CreateCall;
 
@@ -101,7 +103,8 @@
 	#noteFirstPart(): void {
 		const {metrics, clock} = this.#ctx;
 		const {service, arrivedMs} = this.#job;
-		metrics.firstPartTime.observe({service}, (clock.nowMs() - arrivedMs) / 1000);
+		this.#firstPartMs = clock.nowMs() - arrivedMs;
+		metrics.firstPartTime.observe({service}, this.#firstPartMs / 1000);
 	}
 
 	#handle(message: AttemptMessage): readonly AttemptEffect[] {
@@ -307,6 +310,7 @@
 		metrics.answerTime.observe({service}, seconds);
 		log[outcome === 'answered' ? 'routine' : 'info']('request ended', {
 			request_id: requestId, team, service, outcome, ran, target: this.#lastTarget, retries: this.#state.retries, seconds,
+			...(this.#firstPartMs !== undefined && {first_part_ms: Math.round(this.#firstPartMs)}),
 		});
 		this.#onDone();
 	}
