A VM that is behind places without asking others; overhead in the ledger's prediction

A reservation costs a VM some 80 us of codec and three sends a request, and a VM that has used its processor accepts fewer connections. It hears enough of all targets by itself, so it places as without owners while it refuses requests since it is behind.

--- a/src/core/placement/read-rate.ts
+++ b/src/core/placement/read-rate.ts
@@ -10,7 +10,7 @@
 export type SampleTerms = {
 	/** Prompts below this many tokens say little about the rate. */
 	readonly minTokens: number;
-	/** Milliseconds of a time to the first token that are not reading. */
+	/** Milliseconds of a time to the first token that are not reading, and that a prediction adds. */
 	readonly overheadMs: number;
 	/** Least weight of a sample above the rate, and of one below it. */
 	readonly riseWeight: number;
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -61,6 +61,8 @@
 	readonly random: () => number;
 	/** What the other VMs report. */
 	readonly fleet: FleetLoads;
+	/** Whether this VM is behind its work. */
+	readonly isBehind: () => boolean;
 };
 
 /** Cost of a request for its team's share: a token read counts once, a token generated twice. */
@@ -398,7 +400,8 @@
 			fleet,
 			hearsFleet: isWhole && fleet.heard + 1 >= vms.length,
 			isSampled: !isWhole,
-			isReserved: this.#isReserved(),
+			// A flooded VM hears enough of all targets itself, and has no time to ask.
+			isReserved: this.#isReserved() && !this.#options.isBehind(),
 			isClosed: (target, wish) => this.#reservations.isClosed(target.record.id, wish, nowMs),
 			copyableOf: keys => this.#reservations.copyableOf(keys, nowMs),
 			random,
--- a/src/core/placement/start-limits.ts
+++ b/src/core/placement/start-limits.ts
@@ -23,7 +23,7 @@
 /** Of requests that give way: about half, so that what comes after them finds room. */
 const YIELDING: StartLimits = {startShare: 0.25, slotShare: 0.5, memoryShare: 0.25};
 /** Of requests that an exact ledger lets in: the rest of the target latency is for the way and the first step alone. */
-const RESERVED: StartLimits = {startShare: 0.7, slotShare: 0.85, memoryShare: 0.5};
+const RESERVED: StartLimits = {startShare: 0.65, slotShare: 0.85, memoryShare: 0.5};
 const RESERVED_YIELDING: StartLimits = {startShare: 0.4, slotShare: 0.5, memoryShare: 0.25};
 /** Part of the target latency that others' prompts may take ahead of one that cannot be in time by itself. */
 const LARGE_BACKLOG_SHARE = 0.03;
--- a/src/core/placement/target-ledger.ts
+++ b/src/core/placement/target-ledger.ts
@@ -102,7 +102,7 @@
 		const newTokens = Math.max(0, prompt.tokens - keptTokens);
 		const tokensPerMs = this.#rate.tokensPerMs();
 		const prediction: StartPrediction = {
-			waitedMs: wish.waitedMs, predictedMs: (this.#readingTokens + newTokens) / tokensPerMs, ownMs: newTokens / tokensPerMs,
+			waitedMs: wish.waitedMs, predictedMs: ((this.#readingTokens + newTokens) / tokensPerMs) + ALL_KNOWN.overheadMs, ownMs: newTokens / tokensPerMs,
 		};
 		const load = {running: this.#runningWith(ctx), readingTokens: this.#readingTokens, heldTokens: this.#heldTokens};
 		const terms = {givesWay: wish.givesWay, isExact: true};
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -35,6 +35,8 @@
 	readonly loads: FleetLoads;
 	/** Uniform in [0, 1). */
 	readonly random: () => number;
+	/** Whether this VM is behind its work. */
+	readonly isBehind: () => boolean;
 	/** Sends a message to another VM; it may be lost. */
 	readonly tellPeer: (vm: string, service: string, message: PeerMessage) => void;
 };
@@ -68,7 +70,7 @@
 	readonly reject: (err: RefusalError) => void;
 };
 
-export const createPlacementScheduler = ({vm, dataCentre, bounds, clock, view, vms, log, loads, random, tellPeer}: PlacementSchedulerOptions): PlacementScheduler => {
+export const createPlacementScheduler = ({vm, dataCentre, bounds, clock, view, vms, log, loads, random, isBehind, tellPeer}: PlacementSchedulerOptions): PlacementScheduler => {
 	const placements = new Map<string, ServicePlacement>();
 	const waiters = new Map<string, Waiter>();
 	const serviceOfGrant = new Map<string, string>();
@@ -139,7 +141,7 @@
 			}
 
 			placements.set(service.name, new ServicePlacement({
-				service, bounds, vm, vms, dataCentre, fleet: loads, createGrantId, random,
+				service, bounds, vm, vms, dataCentre, fleet: loads, createGrantId, random, isBehind,
 			}));
 			tell(service.name, {kind: 'data-centres-out', names: view.outNames()});
 			for (const target of view.targets().values()) {
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -114,13 +114,14 @@
 	const view = createFleetView(log);
 	const loads = new FleetLoads();
 	const peers: {exchange?: LoadExchange} = {};
+	const shed = createLoadShed({behindMs: limits.behindMs, random});
 	const scheduler = createPlacementScheduler({
 		vm, dataCentre, bounds, clock, view, vms, log, loads, random,
+		isBehind: () => shed.share() > 0,
 		tellPeer(peer, service, message) {
 			peers.exchange?.tell(peer, service, message);
 		},
 	});
-	const shed = createLoadShed({behindMs: limits.behindMs, random});
 	const loopDelay = startLoopDelay({
 		clock, log, metrics, heard: () => loads.heard,
 		onLook(delayMs) {
--- a/test/placement/_service.ts
+++ b/test/placement/_service.ts
@@ -41,12 +41,13 @@
 	readonly service?: RoutedService;
 	readonly fleet?: FleetLoads;
 	readonly random?: () => number;
+	readonly isBehind?: () => boolean;
 };
 
-export const createPlacement = ({vm = 'vm-1', vms = ['vm-1'], service = modelService, fleet = new FleetLoads(), random = () => 0.5}: Setup = {}): ServicePlacement => {
+export const createPlacement = ({vm = 'vm-1', vms = ['vm-1'], service = modelService, fleet = new FleetLoads(), random = () => 0.5, isBehind = () => false}: Setup = {}): ServicePlacement => {
 	let grants = 0;
 	return new ServicePlacement({
-		service, bounds, vm, vms: () => vms, dataCentre: 'dc-a', fleet, random,
+		service, bounds, vm, vms: () => vms, dataCentre: 'dc-a', fleet, random, isBehind,
 		createGrantId() {
 			grants++;
 			return `${vm}-${grants}`;
--- a/test/placement/reservations.test.ts
+++ b/test/placement/reservations.test.ts
@@ -85,6 +85,17 @@
 	throw new Error('every VM owns its home');
 };
 
+test('a VM that is behind its work places without asking others', t => {
+	for (const vm of vms) {
+		const placement = createPlacement({
+			vm, vms, service: {...modelService, coldPerS: 0}, isBehind: () => true,
+		});
+		placement.handle({kind: 'target', target: target('t1')}, 0);
+		const [effect] = placement.handle({kind: 'ask', ask: ask('team', 0, {prompt: prompt('subject', 5000)})}, 0);
+		t.is(effect?.kind, 'grant');
+	}
+});
+
 test('an owner that does not answer is passed over, and its request is placed on what is known here', t => {
 	const {placement, effect} = askingVm();
 	t.deepEqual(placement.handle({kind: 'tick'}, 30), []);
