--- a/src/core/placement/reservations.ts
+++ b/src/core/placement/reservations.ts
@@ -55,8 +55,6 @@
 	readonly vms: () => readonly string[];
 	readonly service: () => RoutedService;
 	readonly targetOf: (id: string) => PlacedTarget | undefined;
-	/** Rate at which engines read, as known here. */
-	readonly tokensPerMs: () => number;
 };
 
 export class Reservations {
@@ -99,6 +97,11 @@
 		return last ? last.predictedMs * last.newTokens / Math.max(1, last.readingTokens + last.newTokens) : 0;
 	}
 
+	/** Forgets a request that was started. */
+	noteStarted({requestId}: PlacedAsk): void {
+		this.#tries.delete(requestId);
+	}
+
 	/** What the last owner that declined a request said; the request is forgotten. */
 	takeLastDecline(requestId: string): LastDecline | undefined {
 		const last = this.#tries.get(requestId)?.last;
@@ -228,10 +231,10 @@
 	}
 
 	#answer(wish: ReservationWish, nowMs: number): ReservationAnswer {
-		const {service, targetOf, tokensPerMs} = this.#options;
+		const {service, targetOf} = this.#options;
 		const target = targetOf(wish.target);
 		const ledger = this.#ledgers.get(wish.target)
-			?? new TargetLedger(wish.target, {capacityTokens: () => service().engine?.kvCapacityTokens ?? 0, tokensPerMs: tokensPerMs(), nowMs});
+			?? new TargetLedger(wish.target, {capacityTokens: () => service().engine?.kvCapacityTokens ?? 0, nowMs});
 		this.#ledgers.set(wish.target, ledger);
 		return ledger.reserve(wish, {
 			service: service(), slots: target?.record.slots ?? 0, observedRunning: target ? target.running + target.othersRunning(nowMs) : 0, nowMs,
@@ -245,7 +248,6 @@
 		}
 
 		if (answer.isGranted) {
-			this.#tries.delete(ask.requestId);
 			this.#ownersOfGrants.set(id, {owner, target: target.record.id});
 			return {kind: 'granted', candidate: withKept(candidate, answer)};
 		}
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -95,7 +95,7 @@
 			service: options.service.name, fleet: options.fleet, capacityPerS: () => this.#service.tokensPerS,
 		});
 		this.#reservations = new Reservations({
-			vm: options.vm, vms: options.vms, service: () => this.#service, targetOf: id => this.#known.get(id), tokensPerMs: () => this.#readRate.tokensPerMs(),
+			vm: options.vm, vms: options.vms, service: () => this.#service, targetOf: id => this.#known.get(id),
 		});
 	}
 
@@ -467,6 +467,7 @@
 			this.#sent.note(sent, prompt, newTokens);
 		}
 
+		this.#reservations.noteStarted(ask);
 		this.#shares.noteStarted(ask.team, costOf(ask), nowMs);
 		return {
 			kind: 'grant', ask, grantId, target: target.record, because: reason,
--- a/src/core/placement/target-ledger.ts
+++ b/src/core/placement/target-ledger.ts
@@ -21,6 +21,9 @@
 /** Milliseconds for which requests that were let in before this ledger began may still run. */
 const LEARN_MS = 6000;
 
+/** Tokens per millisecond that an engine is taken to read until its first prompts were: a moderate one, since the ledger corrects it after a few. */
+const INITIAL_TOKENS_PER_MS = 40;
+
 /** A request for room at an engine. */
 export type ReservationWish = {
 	readonly id: string;
@@ -80,12 +83,11 @@
 	#readingTokens = 0;
 	#heldTokens = 0;
 
-	/** @param tokensPerMs - Rate at which it is taken to read until its own was measured. */
-	constructor(target: string, {capacityTokens, tokensPerMs, nowMs}: {readonly capacityTokens: () => number; readonly tokensPerMs: number; readonly nowMs: number}) {
+	constructor(target: string, {capacityTokens, nowMs}: {readonly capacityTokens: () => number; readonly nowMs: number}) {
 		this.#target = target;
 		this.#beganMs = nowMs;
 		this.#prompts = createPromptRecord(capacityTokens);
-		this.#rate = createReadRate(ALL_KNOWN, tokensPerMs);
+		this.#rate = createReadRate(ALL_KNOWN, INITIAL_TOKENS_PER_MS);
 	}
 
 	/** Requests that were let in and have not ended. */
--- a/src/runtime/routing/load-exchange.ts
+++ b/src/runtime/routing/load-exchange.ts
@@ -1,7 +1,8 @@
 /**
- * Exchanges load reports with the other VMs as datagrams. A report is of use only while
- * it is fresh and replaces the one before it, so nothing is gained by a connection that
- * repeats lost ones, and a VM that stood still finds no backlog.
+ * Exchanges load reports and messages on reservations with the other VMs as datagrams. A
+ * report is of use only while it is fresh and replaces the one before it, and an answer that
+ * comes late is not waited for; so nothing is gained by a connection that repeats lost ones,
+ * and a VM that stood still finds no backlog.
  */
 import {createSocket} from 'node:dgram';
 import {once} from 'node:events';
--- a/test/placement/reservations.test.ts
+++ b/test/placement/reservations.test.ts
@@ -12,7 +12,7 @@
 const vms = Array.from({length: 30}, (_, index) => `vm-${index}`);
 const CAPACITY_TOKENS = 465_000;
 
-const createLedger = (tokensPerMs = 50): TargetLedger => new TargetLedger('t1', {capacityTokens: () => CAPACITY_TOKENS, tokensPerMs, nowMs: 0});
+const createLedger = (): TargetLedger => new TargetLedger('t1', {capacityTokens: () => CAPACITY_TOKENS, nowMs: 0});
 
 const wish = (id: string, tokens: number, changes: Partial<ReservationWish> = {}): ReservationWish => {
 	const wished = prompt(id, tokens);
--- a/test/platform/fleet-source.test.ts
+++ b/test/platform/fleet-source.test.ts
@@ -19,12 +19,8 @@
 	random: () => 0.5,
 });
 
-test('a target that came by a change and left while history was lost is told as gone', async t => {
-	const store = await startWorksStore();
-	const entry = (address: string) => ({
-		service: 'tariff', address, zone: 'dc-a', version: 'v1', slots: 8, state: 'ready', cold_remaining_ms: 0, sequence: 1, born: 1000,
-	});
-	store.put('servers', 'stays', entry('127.0.0.1:1'));
+/** Starts a source that ends with the test, and collects its news. */
+const startSource = (t: ExecutionContext, store: WorksStore) => {
 	const source = sourceOf(store);
 	const news: FleetNews[] = [];
 	source.start(item => {
@@ -34,9 +30,20 @@
 		await source.stop();
 		await store.close();
 	});
+	return {source, news};
+};
+
+const entryOf = (address: string) => ({
+	service: 'tariff', address, zone: 'dc-a', version: 'v1', slots: 8, state: 'ready', cold_remaining_ms: 0, sequence: 1, born: 1000,
+});
+
+test('a target that came by a change and left while history was lost is told as gone', async t => {
+	const store = await startWorksStore();
+	store.put('servers', 'stays', entryOf('127.0.0.1:1'));
+	const {news} = startSource(t, store);
 
 	await until(t, () => news.some(({kind}) => kind === 'all-targets'), 'targets read');
-	store.put('servers', 'comes', entry('127.0.0.1:3'));
+	store.put('servers', 'comes', entryOf('127.0.0.1:3'));
 	await until(t, () => news.some(item => item.kind === 'target' && item.target.id === 'comes'), 'the change told');
 	store.drop('servers', 'comes');
 	store.loseHistory();
@@ -88,18 +95,8 @@
 
 const leavingTarget = async (t: ExecutionContext, storeAgeMs: number) => {
 	const store = await startWorksStore();
-	store.put('servers', 'leaves', {
-		service: 'tariff', address: '127.0.0.1:1', zone: 'dc-a', version: 'v1', slots: 8, state: 'ready', cold_remaining_ms: 0, sequence: 1, born: 1000,
-	});
-	const source = sourceOf(store);
-	const news: FleetNews[] = [];
-	source.start(item => {
-		news.push(item);
-	});
-	t.teardown(async () => {
-		await source.stop();
-		await store.close();
-	});
+	store.put('servers', 'leaves', entryOf('127.0.0.1:1'));
+	const {source, news} = startSource(t, store);
 	await until(t, () => news.some(({kind}) => kind === 'all-targets'), 'targets read');
 	const startMs = performance.now();
 	const timer = setInterval(() => {
