--- a/test/platform/fleet-source.test.ts
+++ b/test/platform/fleet-source.test.ts
@@ -53,17 +53,8 @@
 
 test('a table that does not change takes no call before its wait is over', async t => {
 	const store = await startWorksStore();
-	const source = sourceOf(store);
-	let isRead = false;
-	source.start(({kind}) => {
-		isRead ||= kind === 'all-targets';
-	});
-	t.teardown(async () => {
-		await source.stop();
-		await store.close();
-	});
-
-	await until(t, () => isRead, 'targets read');
+	const {news} = startSource(t, store);
+	await until(t, () => news.some(({kind}) => kind === 'all-targets'), 'targets read');
 	// The first rounds of the VM's own row follow fast; the next one comes seconds later.
 	await delay(2400);
 	const before = store.calls();
@@ -74,16 +65,7 @@
 test('a store that turns a VM away is asked less and less often', async t => {
 	const store = await startWorksStore();
 	store.setMood('unavailable');
-	const source = sourceOf(store);
-	const news: FleetNews[] = [];
-	source.start(item => {
-		news.push(item);
-	});
-	t.teardown(async () => {
-		await source.stop();
-		await store.close();
-	});
-
+	const {news} = startSource(t, store);
 	await delay(2000);
 	const before = store.calls();
 	await delay(3000);
