Accept callers' connections on several listeners; settings for roll-outs, processor and memory

Cause: Node accepts one connection a turn of its loop and listener, so a flooded VM answered some 200 new connections a second and the rest found none.

The settings name the bounds of roll-outs, the VM's part of a processor and its memory; nothing uses these yet.

--- a/src/core/settings/schema.ts
+++ b/src/core/settings/schema.ts
@@ -26,6 +26,12 @@
 const path = (description: string) =>
 	z.string().min(1).meta({description, allowed: 'a path', example: '/etc/jackdawwood/ca.pem'}).optional();
 
+const fraction = (description: string, max: number) =>
+	z.number().min(0).max(max).meta({description, allowed: `a number from 0 to ${max}`});
+
+const duration = (description: string, min: number) =>
+	z.number().min(min).max(MAX_TIME_MS).meta({description, allowed: `a number of milliseconds from ${min} to ${MAX_TIME_MS}`});
+
 const flag = (description: string) => z.boolean().meta({description});
 
 const vm = z.strictObject({
@@ -72,6 +78,9 @@
 	read_timeout_ms: integer('Time within which a request\'s headers and body have to arrive.', 10, MAX_TIME_MS).default(10_000),
 	behind_ms: integer('Delay of the event loop above which a VM refuses requests and asks for no new callers: it takes one new connection a turn.', 5, MAX_TIME_MS).default(20),
 	connections_per_team: integer('Requests of one team that may be open at this VM.', 1, 100_000).default(500),
+	processor_share: fraction('Part of a processor that this VM may use; unknown if absent.', 1).optional(),
+	processors: integer('How many times as fast that processor is as an ordinary one.', 1, 1024).default(1),
+	memory_mb: integer('Memory of this VM in MB, beyond which the process is killed; unknown if absent.', 32, 1_048_576).optional(),
 }).meta({description: 'Limits on callers\' requests. Each has its own refusal.'});
 
 const control = z.strictObject({
@@ -91,12 +100,6 @@
 	bootstrap_from_loopback: flag('Whether calls from this VM itself need no token while the fleet configuration has no operator.').default(true),
 }).meta({description: 'The operators\' interface.'});
 
-const fraction = (description: string, max: number) =>
-	z.number().min(0).max(max).meta({description, allowed: `a number from 0 to ${max}`});
-
-const duration = (description: string, min: number) =>
-	z.number().min(min).max(MAX_TIME_MS).meta({description, allowed: `a number of milliseconds from ${min} to ${MAX_TIME_MS}`});
-
 const bounds = z.strictObject({
 	cold_factor: fraction('Multiple of its stated rate that a cold target survives.', 100).default(1),
 	cold_slack: fraction('Requests beyond that multiple which a cold target survives in one second.', 100_000).default(0),
@@ -106,6 +109,9 @@
 	grace_s: fraction('Time from a stop signal to the end of the process, in seconds.', 600).default(10),
 	drain_ms: duration('Time after a target has announced that it leaves within which it must get nothing more.', 100).default(2000),
 	heartbeat_ms: duration('Time between heartbeats of a target.', 10).default(1000),
+	exposure_share: fraction('Part of a service\'s requests that an unproved version may get during its roll-out, over the whole fleet; without it no roll-out is carried out.', 1).optional(),
+	exposure_slack: fraction('Requests beyond that part which it may get.', 100_000).default(0),
+	rollback_ms: duration('Time after a version\'s 50th bad answer within which it must get nothing more.', 100).default(5000),
 }).meta({description: 'Bounds that the deployment promises over all VMs together.'});
 
 /** Schema of the file, in the spelling of the file. */
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -9,7 +9,7 @@
 import {createRetryShare} from '../../core/placement/retry-share.js';
 import {noClaims} from '../claims/no-claims.js';
 import {type AttemptContext} from '../entry/attempt-context.js';
-import {listen} from '../entry/listen.js';
+import {canSharePort, listen} from '../entry/listen.js';
 import {createServerStop} from '../entry/server-stop.js';
 import {createTargetPools} from '../entry/target-pools.js';
 import {type Log} from '../observe/log.js';
@@ -31,12 +31,16 @@
 const END_MARGIN_MS = 500;
 /** How often the server looks for requests that arrive too slowly. */
 const SLOW_CHECK_MS = 500;
+/** Listeners on the callers' address: Node accepts one connection of each in a turn of its loop. */
+const CALLERS_LISTENERS = 8;
 /**
- * Connections of callers that may wait to be accepted. Node accepts one a turn of its loop,
- * some 200 a second on a small VM that is flooded, and callers wait a second at most: out of
- * a longer queue would come only connections that were given up, and no other would be taken.
+ * Connections of callers that may wait to be accepted, over all listeners. Callers wait a
+ * second at most: out of a longer queue would come only connections that were given up, and
+ * no other would be taken.
  */
-const CALLERS_BACKLOG = 64;
+const CALLERS_BACKLOG = 128;
+/** The same where one listener accepts them all, some 200 a second on a small VM that is flooded. */
+const SINGLE_BACKLOG = 64;
 /** Part of a target's connections that all VMs together use. */
 const CONNECTION_SHARE = 0.9;
 /** Milliseconds to connect to a target; a lost opening packet would cost a second or more, another target a few milliseconds. */
@@ -85,6 +89,20 @@
 	noDelay: true,
 });
 
+/** Binds all servers to the callers' address; resolves to the `host:port` in use. */
+const listenForCallers = async (servers: readonly http.Server[], {host, port}: Address): Promise<string> => {
+	const [first, ...others] = servers;
+	if (!first || others.length === 0) {
+		return first ? listen(first, {host, port, backlog: SINGLE_BACKLOG}) : `${host}:${port}`;
+	}
+
+	const shared = {host, backlog: Math.ceil(CALLERS_BACKLOG / servers.length), reusePort: true};
+	const address = await listen(first, {...shared, port});
+	const bound = Number(address.slice(address.lastIndexOf(':') + 1));
+	await Promise.all(others.map(async server => listen(server, {...shared, port: bound})));
+	return address;
+};
+
 type Status = {readonly isReady: () => boolean; readonly loads: FleetLoads};
 
 const startStatus = async ({ready, metricsAddress, metrics, source}: RoutingOptions, {isReady, loads}: Status): Promise<readonly http.Server[]> => {
@@ -168,24 +186,28 @@
 	const ctx: ServeContext = {
 		view, wire: callerWire, attempts, random, shed, isBehind: loopDelay.isBehind,
 	};
-	const server = createCallersServer(options);
-	const serverStop = createServerStop(server, limits.readTimeoutMs);
+	const servers = Array.from({length: canSharePort() ? CALLERS_LISTENERS : 1}, () => createCallersServer(options));
+	const serverStops = servers.map(server => createServerStop(server, limits.readTimeoutMs));
 	let isLeaving = false;
 	let wasReady = false;
-	server.on('request', (req, res) => {
-		void serveRequest(req, res, ctx);
-	});
+	for (const server of servers) {
+		server.on('request', (req, res) => {
+			void serveRequest(req, res, ctx);
+		});
+	}
 
 	const isReady = () => !isLeaving && view.isComplete() && !shed.isOverloaded();
 	const statusServers = await startStatus(options, {isReady, loads});
-	const address = await listen(server, {...options.callers, backlog: CALLERS_BACKLOG});
+	const address = await listenForCallers(servers, options.callers);
 	log.info('started', {vm, data_centre: dataCentre, callers: address});
 	source.start(news => {
 		for (const change of view.apply(news)) {
 			scheduler.onNews(change);
 			if (change.kind === 'config') {
 				metrics.configVersion.set(change.config.version);
-				server.keepAliveTimeout = change.config.limits.idleTimeoutMs;
+				for (const server of servers) {
+					server.keepAliveTimeout = change.config.limits.idleTimeoutMs;
+				}
 			}
 		}
 
@@ -199,10 +221,13 @@
 	const stop = async (): Promise<void> => {
 		isLeaving = true;
 		log.info('leaving', {grace_ms: bounds.graceMs});
-		serverStop.leave();
+		for (const serverStop of serverStops) {
+			serverStop.leave();
+		}
+
 		const endByMs = clock.nowMs() + bounds.graceMs - END_MARGIN_MS;
 		await delay(Math.min(LEAVE_NOTICE_MS, bounds.graceMs / 2));
-		await Promise.race([serverStop.stop(), delay(Math.max(0, endByMs - clock.nowMs()))]);
+		await Promise.race([Promise.all(serverStops.map(async serverStop => serverStop.stop())), delay(Math.max(0, endByMs - clock.nowMs()))]);
 		log.info('stopped');
 		await source.stop();
 		scheduler.stop();
