--- a/src/runtime/routing/load-exchange.ts
+++ b/src/runtime/routing/load-exchange.ts
@@ -31,6 +31,8 @@
 	/** Where the other VMs listen. */
 	readonly peers: () => readonly Address[];
 	readonly peerOf: (vm: string) => Address | undefined;
+	/** Told of a VM that was heard and has no known address. */
+	readonly onUnknownVm: (vm: string) => void;
 	/** Called with what another VM says of reservations. */
 	readonly onPeer: (from: string, service: string, message: PeerMessage) => void;
 	readonly targets: () => readonly TargetLoad[];
@@ -60,7 +62,7 @@
 
 /** Starts to listen and to report. */
 export const startLoadExchange = async ({
-	vm, incarnation, listen, clock, log, loads, peers, peerOf, onPeer, targets, teams, takeSentPrompts, onSentPrompts, takeObserved, onObserved, newsWord, onNewsWord, leavingTargets, onLeavingTargets,
+	vm, incarnation, listen, clock, log, loads, peers, peerOf, onUnknownVm, onPeer, targets, teams, takeSentPrompts, onSentPrompts, takeObserved, onObserved, newsWord, onNewsWord, leavingTargets, onLeavingTargets,
 }: LoadExchangeOptions): Promise<LoadExchange> => {
 	const socket = createSocket('udp4');
 	let sequence = 0;
@@ -73,6 +75,10 @@
 				return;
 			}
 
+			if (peerOf(datagram.vm) === undefined) {
+				onUnknownVm(datagram.vm);
+			}
+
 			const {report} = datagram;
 			if (report) {
 				loads.take({...report, vm: datagram.vm}, clock.nowMs());
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -61,6 +61,8 @@
 	readonly peers: () => readonly Address[];
 	/** Where one VM listens. */
 	readonly peerOf: (vm: string) => Address | undefined;
+	/** Told of a VM that was heard and has no known address. */
+	readonly onUnknownVm: (vm: string) => void;
 	readonly callers: Address;
 	readonly ready: Address & {readonly path: string};
 	readonly metricsAddress: Address;
@@ -150,7 +152,7 @@
 	});
 	const exchange = await startLoadExchange({
 		vm, incarnation, listen: options.exchange, clock, log, loads,
-		peers: options.peers, peerOf: options.peerOf, onPeer: scheduler.onPeer, targets: scheduler.targetLoads, teams: scheduler.teamLoads,
+		peers: options.peers, peerOf: options.peerOf, onUnknownVm: options.onUnknownVm, onPeer: scheduler.onPeer, targets: scheduler.targetLoads, teams: scheduler.teamLoads,
 		takeSentPrompts: scheduler.takeSentPrompts, onSentPrompts: scheduler.onSentPrompts,
 		takeObserved: scheduler.takeObserved, onObserved: scheduler.onObserved,
 		newsWord: source.word, onNewsWord: source.onWord,
