Admit callers' requests by CPU time, and refuse at the least cost

Cause: at a flooded VM the cost of admitted requests is the bottleneck, and the share that the lateness of timers sheds reacts at the earliest after 1.25 s.

Change: `src/core/admission/ingress.ts` decides from the head of a request (team, open requests, CPU time used, time since the loop was last idle), before body, routes, log line and placement. Costs are fitted to `process.cpuUsage()` (`cpu-costs.ts`). Teams that send no more than an even part go first. A refusal is one write with a spread Retry-After; the refusals of one team and second are one log line. Lateness of timers still sheds as before, now before the body is read; with a known budget it takes the VM out of rotation only after 2 s. Without `limits.processor_share` nothing is refused by CPU time.

--- /dev/null
+++ b/src/core/admission/ingress.ts
@@ -0,0 +1,310 @@
+/**
+ * Admission control of callers' requests by CPU time, from the head of a request alone.
+ * Handles a flood of one team at one small VM: the load balancer chooses the VM by a hash
+ * of the caller, so several hundred requests a second can reach a VM that serves a hundred.
+ *
+ * The module keeps a backlog in milliseconds of CPU time. Each request adds its estimated
+ * cost, time takes off what the VM's budget processes, and the CPU time that was measured
+ * corrects the sum. While the backlog is short everything is admitted. Otherwise teams that
+ * send no more than an even part of what can be admitted (max-min fairness) go first, and
+ * a flooding team gets what is left over.
+ */
+import {fairLevel} from '../placement/fair-level.js';
+import {createCpuCostFit, type CpuCosts} from './cpu-costs.js';
+
+/** Milliseconds between measurements of the CPU time used. */
+const MEASURE_MS = 100;
+/**
+ * Part of the budget that may be planned. Requests that have not been read yet wait in the
+ * kernel and are not counted here: they are reached in time only if the process has idle time.
+ */
+const PLANNED_PART = 0.85;
+/** Milliseconds within which the budget can process a full backlog: callers have to be answered within half a second. */
+const FULL_MS = 150;
+/** Parts of a full backlog up to which teams that send more than an even part are admitted: those that got nothing, and those that got an even part. */
+const DUE_PART = 0.9;
+const OVER_PART = 0.3;
+/** Part of what can be admitted that is divided while requests wait in the kernel, since more were sent than have been counted. */
+const SATURATED_LEVEL_PART = 0.5;
+/** Full backlogs up to which everything is admitted while all teams together send no more than can be admitted in half a second: a burst. */
+const BURST_FACTOR = 2;
+/** Factor by which counts of requests by team lose weight with each measurement: they cover about half a second. */
+const KEEP_PART = 0.8;
+/** Counts below this are forgotten. */
+const MIN_COUNT = 0.05;
+/** Milliseconds between computations of the even part while the backlog is large; a flood of 700 requests/s brings 14 in that time. */
+const LEVEL_MS = 20;
+/** Part of the budget that is always left for admitted requests, so that estimates can be corrected. */
+const MIN_ADMITTED_PART = 0.1;
+/**
+ * Milliseconds without an idle one after which requests are taken to wait in the kernel: the
+ * process reads only as fast as it works, so the backlog alone would show them much later.
+ */
+const SATURATED_MS = 200;
+/** Milliseconds of idle time that count; a turn of the loop that finds work takes less. */
+const MIN_IDLE_MS = 0.5;
+/** Milliseconds for which refusing alone has to take the whole budget before the VM counts as overloaded. */
+const OVERLOADED_MS = 2000;
+
+export type IngressOptions = {
+	/** Part of a processor that the VM may use; unknown if absent. */
+	readonly processorShare: number | undefined;
+	/** Factor of that part. The process runs on one thread, so more than a whole processor cannot be used. */
+	readonly processors: number;
+	/** CPU time that the process has used, in milliseconds. */
+	readonly usedMs: () => number;
+	/** Time that the process has waited for work, in milliseconds. */
+	readonly idleMs: () => number;
+	/** Requests that are open now. */
+	readonly open: () => number;
+};
+
+/** Figures of the admission control, for log lines and metrics. */
+export type IngressFigures = CpuCosts & {
+	/** Milliseconds that the budget needs to process the backlog. */
+	readonly backlogMs: number;
+	/** CPU milliseconds a second. */
+	readonly budgetMs: number;
+	readonly admitted: number;
+	readonly refused: number;
+};
+
+export type Ingress = {
+	/** Counts a request; whether it is admitted. */
+	readonly admits: (team: string, nowMs: number) => boolean;
+	/** To be called several times a second, also while no requests arrive. */
+	readonly tick: (nowMs: number) => void;
+	/** Whether refusing alone takes the whole budget, and has done so for some time. */
+	readonly isOverloaded: () => boolean;
+	/** Part of the last requests that was refused, from 0 to 1. */
+	readonly refusedPart: () => number;
+	readonly figures: () => IngressFigures;
+};
+
+type TeamCount = {offered: number; admitted: number};
+
+/** Counts of a measurement window that has not ended yet. */
+type Window = {
+	readonly startMs: number;
+	readonly usedMs: number;
+	admitted: number;
+	refused: number;
+	/** CPU time that was added to the backlog. */
+	plannedMs: number;
+	/** Open requests times milliseconds. */
+	openMs: number;
+};
+
+/** Counts of requests by team over about half a second. */
+const createTeamCounts = () => {
+	const counts = new Map<string, TeamCount>();
+	return {
+		of(team: string): TeamCount {
+			const count = counts.get(team) ?? {offered: 0, admitted: 0};
+			counts.set(team, count);
+			return count;
+		},
+		offered: (): readonly number[] => [...counts.values()].map(({offered}) => offered),
+		age() {
+			for (const [team, count] of counts) {
+				count.offered *= KEEP_PART;
+				count.admitted *= KEEP_PART;
+				if (count.offered < MIN_COUNT) {
+					counts.delete(team);
+				}
+			}
+		},
+	};
+};
+
+const sumOf = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0);
+
+/** Milliseconds that the counts of teams cover. */
+const COUNTED_MS = MEASURE_MS / (1 - KEEP_PART);
+
+class BudgetIngress implements Ingress {
+	readonly #options: IngressOptions;
+	/** CPU milliseconds that may be planned, per millisecond. */
+	readonly #budget: number;
+	readonly #fit = createCpuCostFit();
+	readonly #teams = createTeamCounts();
+	#costs: CpuCosts;
+	#window: Window | undefined;
+	#lastMs = 0;
+	#idle = {atMs: -Infinity, totalMs: 0};
+	#backlogMs = 0;
+	#isSaturated = false;
+	#level = Infinity;
+	#levelAtMs = -Infinity;
+	#refused = 0;
+	#admitted = 0;
+	#refusedPart = 0;
+	/** Since when refusing alone has taken the whole budget. */
+	#fullSinceMs: number | undefined;
+	#isOverloaded = false;
+
+	constructor(options: IngressOptions) {
+		this.#options = options;
+		this.#budget = Math.min(1, (options.processorShare ?? 1) * options.processors) * PLANNED_PART;
+		this.#costs = this.#fit.costs();
+	}
+
+	admits(team: string, nowMs: number): boolean {
+		this.tick(nowMs);
+		const count = this.#teams.of(team);
+		count.offered++;
+		const isAdmitted = this.#backlogMs < this.#limitOf(count, nowMs);
+		const costMs = isAdmitted ? this.#costs.admittedMs : this.#costs.refusedMs;
+		this.#backlogMs += costMs;
+		const window = this.#windowAt(nowMs);
+		window.plannedMs += costMs;
+		if (isAdmitted) {
+			window.admitted++;
+			count.admitted++;
+			this.#admitted++;
+		} else {
+			window.refused++;
+			this.#refused++;
+		}
+
+		return isAdmitted;
+	}
+
+	tick(nowMs: number): void {
+		const open = this.#options.open();
+		const elapsedMs = Math.max(0, nowMs - this.#lastMs);
+		const window = this.#windowAt(nowMs);
+		if (this.#lastMs > 0) {
+			window.openMs += open * elapsedMs;
+			const reserveMs = this.#reserve(open) * elapsedMs;
+			window.plannedMs += reserveMs;
+			this.#backlogMs = Math.max(0, this.#backlogMs + reserveMs - (this.#budget * elapsedMs));
+		}
+
+		this.#lastMs = nowMs;
+		this.#noteIdle(nowMs);
+		if (nowMs - window.startMs >= MEASURE_MS) {
+			this.#measure(window, nowMs);
+		}
+	}
+
+	isOverloaded(): boolean {
+		return this.#isOverloaded;
+	}
+
+	refusedPart(): number {
+		return this.#refusedPart;
+	}
+
+	figures(): IngressFigures {
+		return {
+			...this.#costs, backlogMs: this.#backlogMs / this.#budget, budgetMs: this.#budget * 1000, admitted: this.#admitted, refused: this.#refused,
+		};
+	}
+
+	/** A full backlog, in CPU milliseconds. */
+	get #fullMs(): number {
+		return this.#budget * FULL_MS;
+	}
+
+	/** CPU milliseconds per millisecond for open requests and the process itself. */
+	#reserve(open: number): number {
+		return Math.min(this.#budget * (1 - MIN_ADMITTED_PART), ((open * this.#costs.openMs) + this.#costs.idleMs) / 1000);
+	}
+
+	#noteIdle(nowMs: number): void {
+		const totalMs = this.#options.idleMs();
+		if (totalMs - this.#idle.totalMs >= MIN_IDLE_MS || this.#idle.atMs === -Infinity) {
+			this.#idle = {atMs: nowMs, totalMs};
+		}
+
+		this.#isSaturated = nowMs - this.#idle.atMs > SATURATED_MS;
+		if (this.#isSaturated) {
+			this.#backlogMs = Math.max(this.#backlogMs, this.#fullMs * DUE_PART);
+		}
+	}
+
+	#windowAt(nowMs: number): Window {
+		this.#window ??= this.#newWindow(nowMs);
+		return this.#window;
+	}
+
+	#newWindow(nowMs: number): Window {
+		return {
+			startMs: nowMs, usedMs: this.#options.usedMs(), admitted: 0, refused: 0, plannedMs: 0, openMs: 0,
+		};
+	}
+
+	#measure(window: Window, nowMs: number): void {
+		const next = this.#newWindow(nowMs);
+		const spanMs = nowMs - window.startMs;
+		const usedMs = next.usedMs - window.usedMs;
+		this.#fit.add({
+			admitted: window.admitted, refused: window.refused, openS: window.openMs / 1000, spanS: spanMs / 1000, usedMs,
+		});
+		// Work planned here and done in a later window is taken off now and added then.
+		const limitMs = this.#fullMs * OVER_PART;
+		const correctedMs = this.#backlogMs + Math.min(limitMs, Math.max(-limitMs, usedMs - window.plannedMs));
+		// No more than a full backlog is kept, so that it is worked off soon after a flood.
+		this.#backlogMs = Math.max(0, Math.min(correctedMs, this.#fullMs));
+		this.#costs = this.#fit.costs();
+		const total = window.admitted + window.refused;
+		this.#refusedPart = total === 0 ? 0 : window.refused / total;
+		this.#noteFull((window.refused * this.#costs.refusedMs) >= this.#budget * spanMs * (1 - MIN_ADMITTED_PART), nowMs);
+		this.#teams.age();
+		this.#levelAtMs = -Infinity;
+		this.#window = next;
+	}
+
+	#noteFull(isFull: boolean, nowMs: number): void {
+		this.#fullSinceMs = isFull ? this.#fullSinceMs ?? nowMs : undefined;
+		this.#isOverloaded = this.#fullSinceMs !== undefined && nowMs - this.#fullSinceMs >= OVERLOADED_MS;
+	}
+
+	/** Backlog up to which requests of a team are admitted. */
+	#limitOf({offered, admitted}: TeamCount, nowMs: number): number {
+		const full = this.#fullMs;
+		if (this.#backlogMs < full * OVER_PART) {
+			return Infinity;
+		}
+
+		const level = this.#evenPart(nowMs);
+		if (level === Infinity) {
+			return full * BURST_FACTOR;
+		}
+
+		return offered <= level ? Infinity : full * (DUE_PART - ((DUE_PART - OVER_PART) * Math.min(1, admitted / level)));
+	}
+
+	/** Requests of one team that can be admitted, in the span that counts cover, if all get the same. */
+	#evenPart(nowMs: number): number {
+		if (nowMs - this.#levelAtMs >= LEVEL_MS) {
+			this.#levelAtMs = nowMs;
+			const offered = this.#teams.offered();
+			const {admittedMs, refusedMs} = this.#costs;
+			const left = (this.#budget - this.#reserve(this.#options.open())) * COUNTED_MS;
+			const refusalsMs = sumOf(offered) * refusedMs;
+			const capacity = Math.max(left * MIN_ADMITTED_PART, left - refusalsMs) / Math.max(admittedMs / 2, admittedMs - refusedMs);
+			this.#level = fairLevel(offered, this.#isSaturated ? capacity * SATURATED_LEVEL_PART : capacity);
+		}
+
+		return this.#level;
+	}
+}
+
+/** Admits everything: the VM's share of a processor is not known. */
+const unlimited: Ingress = {
+	admits: () => true,
+	tick() {
+		// There is no budget to compare with.
+	},
+	isOverloaded: () => false,
+	refusedPart: () => 0,
+	figures: () => ({
+		admittedMs: 0, refusedMs: 0, openMs: 0, idleMs: 0, backlogMs: 0, budgetMs: 0, admitted: 0, refused: 0,
+	}),
+};
+
+/** Admission control of a VM without requests. */
+export const createIngress = (options: IngressOptions): Ingress =>
+	options.processorShare === undefined || options.processorShare === 0 ? unlimited : new BudgetIngress(options);
--- a/src/core/admission/load-shed.ts
+++ b/src/core/admission/load-shed.ts
@@ -9,9 +9,6 @@
 import {createTeamUse, type TeamUse} from '../placement/team-use.js';
 import {fairLevel} from '../placement/fair-level.js';
 
-/** Retry-After of an overloaded VM, in milliseconds: short, since the next try reaches another VM. */
-export const OVERLOADED_RETRY_MS = 100;
-
 /** Part of the delay at which a VM is behind below which a look is calm. */
 const CALM_PART = 0.4;
 /** Late looks, less what calm ones take off, from which a VM is behind: a stall, however long, is no overload. */
--- /dev/null
+++ b/src/runtime/observe/ingress-report.ts
@@ -0,0 +1,66 @@
+/** Log lines and metrics of the admission control, written a few times a second instead of for each request. */
+import {type Ingress} from '../../core/admission/ingress.js';
+import {type RefusalLine, type RefusalSummary} from '../../core/admission/refusal-summary.js';
+import {type Log} from './log.js';
+import {type Metrics} from './metrics.js';
+
+const MS_PER_S = 1000;
+
+export type IngressReportOptions = {
+	readonly log: Log;
+	readonly metrics: Metrics;
+	readonly ingress: Ingress;
+	readonly refusals: RefusalSummary;
+};
+
+export type IngressReport = {
+	readonly look: (nowMs: number) => void;
+	/** Writes what is left. */
+	readonly end: (nowMs: number) => void;
+};
+
+const rounded = (value: number): number => Math.round(value * 100) / 100;
+
+export const createIngressReport = ({log, metrics, ingress, refusals}: IngressReportOptions): IngressReport => {
+	let told = {admitted: 0, refused: 0};
+
+	const write = (lines: readonly RefusalLine[]): void => {
+		const {backlogMs, budgetMs, admittedMs, refusedMs} = ingress.figures();
+		for (const {reason, team, count, overMs, requestIds} of lines) {
+			metrics.overloadRefusals.inc({team}, count);
+			log.info('requests refused', {
+				reason, team, count, over_ms: Math.round(overMs), request_ids: requestIds.join(' '),
+				...(budgetMs > 0 && {
+					backlog_ms: Math.round(backlogMs), budget_ms_per_s: Math.round(budgetMs), admitted_cost_ms: rounded(admittedMs), refused_cost_ms: rounded(refusedMs),
+				}),
+			});
+		}
+	};
+
+	const setMetrics = (): void => {
+		const {backlogMs, budgetMs, admitted, refused, admittedMs, refusedMs, openMs, idleMs} = ingress.figures();
+		if (budgetMs === 0) {
+			return;
+		}
+
+		metrics.ingress.inc({result: 'admitted'}, admitted - told.admitted);
+		metrics.ingress.inc({result: 'refused'}, refused - told.refused);
+		told = {admitted, refused};
+		metrics.ingressBacklog.set(backlogMs / MS_PER_S);
+		for (const [work, ms] of Object.entries({
+			admitted: admittedMs, refused: refusedMs, open: openMs, idle: idleMs,
+		})) {
+			metrics.ingressCost.set({work}, ms / MS_PER_S);
+		}
+	};
+
+	return {
+		look(nowMs) {
+			write(refusals.takeDue(nowMs));
+			setMetrics();
+		},
+		end(nowMs) {
+			write(refusals.takeAll(nowMs));
+		},
+	};
+};
--- a/src/runtime/observe/loop-delay.ts
+++ b/src/runtime/observe/loop-delay.ts
@@ -2,6 +2,7 @@
  * Watches how far this process is behind its work: how late a timer of its own fires, and
  * how much processor time it used. Requests that wait to be read show nowhere else.
  */
+import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {type Clock} from '../../core/clock.js';
 import {type Log} from './log.js';
@@ -22,11 +23,15 @@
 	readonly stop: () => void;
 };
 
-const cpuMs = (): number => {
+/** CPU time that this process has used. */
+export const cpuMs = (): number => {
 	const {user, system} = process.cpuUsage();
 	return (user + system) / US_PER_MS;
 };
 
+/** Time that the event loop has waited for work. */
+export const idleMs = (): number => performance.eventLoopUtilization().idle;
+
 export type LoopDelayOptions = {
 	readonly clock: Clock;
 	readonly log: Log;
--- a/src/runtime/observe/metrics.ts
+++ b/src/runtime/observe/metrics.ts
@@ -18,6 +18,12 @@
 		refusals: new Counter({
 			name: 'jackdawwood_refusals_total', help: 'Refusals told to callers.', labelNames: ['reason', 'not_run'] as const, registers,
 		}),
+		ingress: new Counter({
+			name: 'jackdawwood_ingress_requests_total', help: 'Requests that were admitted or refused by processor time.', labelNames: ['result'] as const, registers,
+		}),
+		overloadRefusals: new Counter({
+			name: 'jackdawwood_overload_refusals_total', help: 'Requests refused because this VM has no room, by team.', labelNames: ['team'] as const, registers,
+		}),
 		retries: new Counter({
 			name: 'jackdawwood_retries_total', help: 'Requests asked for again.', labelNames: ['reason'] as const, registers,
 		}),
@@ -81,6 +87,12 @@
 		shedShare: new Gauge({
 			name: 'jackdawwood_shed_share', help: 'Share of requests that is refused because this VM is overloaded.', registers,
 		}),
+		ingressBacklog: new Gauge({
+			name: 'jackdawwood_ingress_backlog_seconds', help: 'Time that this VM\'s part of a processor needs for what it has admitted.', registers,
+		}),
+		ingressCost: new Gauge({
+			name: 'jackdawwood_ingress_cost_seconds', help: 'Estimated processor time of a request, an open request\'s second, or a second of the process.', labelNames: ['work'] as const, registers,
+		}),
 		teamShare: new Gauge({
 			name: 'jackdawwood_team_share', help: 'Share of a service that a team received.', labelNames: ['service', 'team'] as const, registers,
 		}),
--- a/src/runtime/routing/serve-request.ts
+++ b/src/runtime/routing/serve-request.ts
@@ -2,13 +2,17 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {setImmediate as turn} from 'node:timers/promises';
-import {OVERLOADED_RETRY_MS, type LoadShed} from '../../core/admission/load-shed.js';
+import {type Ingress} from '../../core/admission/ingress.js';
+import {type LoadShed} from '../../core/admission/load-shed.js';
+import {type RefusalSummary} from '../../core/admission/refusal-summary.js';
+import {retryDelayMs} from '../../core/admission/retry-delay.js';
 import {RefusalError} from '../../core/errors/refusal-error.js';
 import {TooManyRequests, VmOverloaded} from '../../core/errors/refusals-data.js';
 import {asRefusal} from '../entry/as-refusal.js';
 import {type AttemptContext} from '../entry/attempt-context.js';
 import {runAttempt} from '../entry/attempt-task.js';
 import {createCallerAnswer, type CallerAnswer} from '../entry/caller-answer.js';
+import {refuseAtOnce} from '../entry/quick-refusal.js';
 import {readBody} from '../entry/read-body.js';
 import {createJob, routeRequest} from './route-request.js';
 import {type FleetView} from './fleet-view.js';
@@ -22,7 +26,12 @@
 	readonly wire: CallerWire;
 	readonly attempts: AttemptContext;
 	readonly random: () => number;
+	/** Admits by CPU time, where the VM's share of a processor is known. */
+	readonly ingress: Ingress;
+	/** Admits by how late timers are. */
 	readonly shed: LoadShed;
+	/** Refusals that are logged together. */
+	readonly refusals: RefusalSummary;
 	/** Whether what callers did may not have been read yet. */
 	readonly isBehind: () => boolean;
 };
@@ -62,11 +71,46 @@
 	return isFirst;
 };
 
+/** Team of requests whose key is missing or unknown. */
+const NO_TEAM = '';
+
+/** Answers a request that this VM has no room for, before anything else is done for it. */
+const refuseOverloaded = (
+	{req, res, head}: {readonly req: IncomingMessage; readonly res: ServerResponse; readonly head: RoutedHead},
+	{team, nowMs}: {readonly team: string; readonly nowMs: number},
+	ctx: ServeContext,
+): void => {
+	const {wire, attempts: {metrics}, ingress, shed, refusals, random} = ctx;
+	const retryAfterMs = retryDelayMs(Math.max(ingress.refusedPart(), shed.share()), head.waitsMs, random);
+	metrics.refusals.inc({reason: VmOverloaded.name, not_run: 'true'});
+	refusals.add({reason: VmOverloaded.name, team, requestId: head.requestId}, nowMs);
+	if (res.socket === req.socket) {
+		refuseAtOnce(req, wire.overloadedAnswer(head.requestId, retryAfterMs));
+		return;
+	}
+
+	// The answer to an earlier request of the connection is not complete yet and goes first.
+	res.setHeader('connection', 'close');
+	req.resume();
+	wire.writeRefusal(res, new RefusalError(VmOverloaded, {}, {retryAfterMs}), head.requestId);
+};
+
 /** Serves one request; never rejects. */
 export const serveRequest = async (req: IncomingMessage, res: ServerResponse, ctx: ServeContext): Promise<void> => {
-	const {view, wire, attempts, random, shed, isBehind} = ctx;
+	const {view, wire, attempts, random, ingress, shed, isBehind} = ctx;
+	if (req.socket.writableEnded) {
+		// An earlier request of the connection was refused, and nothing after it is served.
+		return;
+	}
+
 	const arrivedMs = attempts.clock.nowMs();
 	const head = wire.readHead(req);
+	const sender = view.inForce()?.config.teamsByKey?.get(head.key ?? '') ?? NO_TEAM;
+	if (!ingress.admits(sender, arrivedMs) || !shed.takes(sender, arrivedMs)) {
+		refuseOverloaded({req, res, head}, {team: sender, nowMs: arrivedMs}, ctx);
+		return;
+	}
+
 	const answer = createCallerAnswer(res, head.requestId, {
 		headers: {},
 		writeRefusal(response, err) {
@@ -76,13 +120,7 @@
 	attempts.metrics.openRequests.inc();
 	try {
 		const routed = routeRequest(view, head, pathOf(req));
-		// The body first: a connection that is closed with unread bytes is reset, and the refusal lost.
 		const body = await readBody(req, attempts.limits);
-		if (!shed.takes(routed.team ?? '', arrivedMs)) {
-			res.setHeader('connection', 'close');
-			throw new RefusalError(VmOverloaded, {}, {retryAfterMs: OVERLOADED_RETRY_MS});
-		}
-
 		if (isBehind() || isFirstOf(req.socket)) {
 			await nextReads();
 		}
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -3,7 +3,10 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import polka from 'polka';
 import {createCostEstimator} from '../../core/admission/cost-estimator.js';
+import {createIngress} from '../../core/admission/ingress.js';
 import {createLoadShed} from '../../core/admission/load-shed.js';
+import {createOverloadWatch} from '../../core/admission/overload-watch.js';
+import {createRefusalSummary} from '../../core/admission/refusal-summary.js';
 import {createTeamGate} from '../../core/admission/team-gate.js';
 import {type Clock} from '../../core/clock.js';
 import {createRetryShare} from '../../core/placement/retry-share.js';
@@ -13,7 +16,8 @@
 import {createServerStop} from '../entry/server-stop.js';
 import {createTargetPools} from '../entry/target-pools.js';
 import {type Log} from '../observe/log.js';
-import {startLoopDelay} from '../observe/loop-delay.js';
+import {cpuMs, idleMs, startLoopDelay} from '../observe/loop-delay.js';
+import {createIngressReport} from '../observe/ingress-report.js';
 import {type Metrics} from '../observe/metrics.js';
 import {FleetLoads} from '../../core/placement/fleet-loads.js';
 import {createFleetView} from './fleet-view.js';
@@ -133,6 +137,15 @@
 	const loads = new FleetLoads();
 	const peers: {exchange?: LoadExchange} = {};
 	const shed = createLoadShed({behindMs: limits.behindMs, random});
+	let openRequests = 0;
+	const ingress = createIngress({
+		processorShare: limits.processorShare, processors: limits.processors ?? 1, usedMs: cpuMs, idleMs, open: () => openRequests,
+	});
+	const refusals = createRefusalSummary();
+	const report = createIngressReport({
+		log, metrics, ingress, refusals,
+	});
+	const overload = createOverloadWatch({ingress, shed, hasBudget: limits.processorShare !== undefined});
 	const scheduler = createPlacementScheduler({
 		vm, dataCentre, bounds, clock, view, vms, log, loads, random,
 		isBehind: () => shed.share() > 0,
@@ -143,8 +156,12 @@
 	const loopDelay = startLoopDelay({
 		clock, log, metrics, heard: () => loads.heard,
 		onLook(delayMs) {
+			const nowMs = clock.nowMs();
 			shed.noteDelay(delayMs);
+			ingress.tick(nowMs);
+			overload.look(nowMs);
 			metrics.shedShare.set(shed.share());
+			report.look(nowMs);
 		},
 		refusedShare: shed.share,
 	});
@@ -184,19 +201,25 @@
 		}),
 	};
 	const ctx: ServeContext = {
-		view, wire: callerWire, attempts, random, shed, isBehind: loopDelay.isBehind,
+		view, wire: callerWire, attempts, random, ingress, shed, refusals, isBehind: loopDelay.isBehind,
 	};
 	const servers = Array.from({length: canSharePort() ? CALLERS_LISTENERS : 1}, () => createCallersServer(options));
 	const serverStops = servers.map(server => createServerStop(server, limits.readTimeoutMs));
 	let isLeaving = false;
 	let wasReady = false;
+	const serve = async (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> => {
+		openRequests++;
+		await serveRequest(req, res, ctx);
+		openRequests--;
+	};
+
 	for (const server of servers) {
 		server.on('request', (req, res) => {
-			void serveRequest(req, res, ctx);
+			void serve(req, res);
 		});
 	}
 
-	const isReady = () => !isLeaving && view.isComplete() && !shed.isOverloaded();
+	const isReady = () => !isLeaving && view.isComplete() && !overload.isOverloaded();
 	const statusServers = await startStatus(options, {isReady, loads});
 	const address = await listenForCallers(servers, options.callers);
 	log.info('started', {vm, data_centre: dataCentre, callers: address});
@@ -228,6 +251,7 @@
 		const endByMs = clock.nowMs() + bounds.graceMs - END_MARGIN_MS;
 		await delay(Math.min(LEAVE_NOTICE_MS, bounds.graceMs / 2));
 		await Promise.race([Promise.all(serverStops.map(async serverStop => serverStop.stop())), delay(Math.max(0, endByMs - clock.nowMs()))]);
+		report.end(clock.nowMs());
 		log.info('stopped');
 		await source.stop();
 		scheduler.stop();
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -28,6 +28,8 @@
 	/** Headers that go on to the target, with the team's name. */
 	readonly targetHeaders: (headers: IncomingHttpHeaders, team: string | undefined) => Headers;
 	readonly writeRefusal: (res: ServerResponse, err: RefusalError, requestId: string) => void;
+	/** The whole HTTP answer of a VM that has no room; it closes the connection. */
+	readonly overloadedAnswer: (requestId: string, retryAfterMs: number) => string;
 };
 
 /**
@@ -85,4 +87,8 @@
 export type RoutingLimits = EntryLimits & {
 	/** Milliseconds by which timers come late above which the VM is behind its work. */
 	readonly behindMs: number;
+	/** Part of a processor that this VM may use; absent if unknown. */
+	readonly processorShare?: number | undefined;
+	/** How many times as fast as an ordinary one that processor is; 1 if absent. */
+	readonly processors?: number;
 };
--- /dev/null
+++ b/test/admission/_flooded-vm.ts
@@ -0,0 +1,130 @@
+/** A VM whose process runs for a part of each cycle, with the admission control before its work. */
+import {createIngress, type Ingress} from '../../src/core/admission/ingress.js';
+
+/** What one piece of work costs, in milliseconds of CPU time. */
+export type TrueCosts = {
+	readonly admittedMs: number;
+	readonly refusedMs: number;
+	/** Of one event of an answer. */
+	readonly eventMs: number;
+	/** Of the process, every 25 ms. */
+	readonly idleMs: number;
+};
+
+export type Arrival = {readonly atMs: number; readonly team: string};
+
+export type Answered = Arrival & {
+	/** When the caller had its answer or the first part of it. */
+	readonly answeredMs: number;
+	readonly isAdmitted: boolean;
+};
+
+export type FloodedVm = {
+	readonly processorShare: number;
+	readonly costs: TrueCosts;
+	/** Events of an answer, and milliseconds between them. */
+	readonly events: number;
+	readonly gapMs: number;
+	/** Spans in which the process is stopped. */
+	readonly frozen?: ReadonlyArray<readonly [number, number]>;
+};
+
+const CYCLE_MS = 100;
+const HOUSEKEEPING_MS = 25;
+
+/** Arrivals of one team at even distances. */
+export const arrivalsOf = (team: string, perS: number, [fromMs, toMs]: readonly [number, number]): readonly Arrival[] =>
+	Array.from({length: Math.floor((toMs - fromMs) * perS / 1000)}, (_, index) => ({atMs: fromMs + ((index + 0.5) * 1000 / perS), team}));
+
+type Work = {readonly atMs: number; readonly costMs: number};
+
+/** Runs the arrivals through the VM in the order of their times, one piece of work at a time. */
+export const runFlood = ({processorShare, costs, events, gapMs, frozen = []}: FloodedVm, arrivals: readonly Arrival[], budget: number | undefined = processorShare): {
+	readonly answered: readonly Answered[]; readonly ingress: Ingress; readonly busyPart: (fromMs: number, toMs: number) => number;
+} => {
+	const waiting = arrivals.toSorted((a, b) => a.atMs - b.atMs);
+	const endMs = (waiting.at(-1)?.atMs ?? 0) + 3000;
+	const works: Work[] = Array.from({length: Math.floor(endMs / HOUSEKEEPING_MS)}, (_, index) => ({atMs: index * HOUSEKEEPING_MS, costMs: costs.idleMs}));
+	const answered: Answered[] = [];
+	const used: Array<readonly [number, number]> = [];
+	let nowMs = 0;
+	let usedMs = 0;
+	let idleMs = 0;
+	let open = 0;
+	const closings: number[] = [];
+
+	const runnableFrom = (atMs: number): number => {
+		const freeze = frozen.find(([from, to]) => atMs >= from && atMs < to);
+		if (freeze) {
+			return runnableFrom(freeze[1]);
+		}
+
+		const inCycle = atMs % CYCLE_MS;
+		return inCycle < (processorShare * CYCLE_MS) - 1e-6 ? atMs : runnableFrom(atMs - inCycle + CYCLE_MS);
+	};
+
+	const work = (costMs: number): void => {
+		let left = costMs;
+		while (left > 1e-9) {
+			nowMs = runnableFrom(nowMs);
+			const piece = Math.min(left, (processorShare * CYCLE_MS) - (nowMs % CYCLE_MS));
+			nowMs += piece;
+			usedMs += piece;
+			left -= piece;
+		}
+
+		used.push([nowMs, usedMs]);
+	};
+
+	const ingress = createIngress({
+		processorShare: budget, processors: 1, usedMs: () => usedMs, idleMs: () => idleMs, open: () => open,
+	});
+	works.sort((a, b) => a.atMs - b.atMs);
+	let nextWork = 0;
+	let nextArrival = 0;
+	for (let arrival = waiting[nextArrival]; arrival; arrival = waiting[nextArrival]) {
+		const due = works[nextWork];
+		const nextMs = Math.min(due?.atMs ?? Infinity, arrival.atMs);
+		idleMs += Math.max(0, nextMs - nowMs);
+		nowMs = runnableFrom(Math.max(nowMs, nextMs));
+		while (closings[0] !== undefined && closings[0] <= nowMs) {
+			closings.shift();
+			open--;
+		}
+
+		if (due && due.atMs <= arrival.atMs) {
+			nextWork++;
+			ingress.tick(nowMs);
+			work(due.costMs);
+			continue;
+		}
+
+		nextArrival++;
+		const isAdmitted = ingress.admits(arrival.team, nowMs);
+		work(isAdmitted ? costs.admittedMs : costs.refusedMs);
+		answered.push({...arrival, answeredMs: nowMs, isAdmitted});
+		if (isAdmitted) {
+			open++;
+			closings.push(nowMs + (events * gapMs));
+			closings.sort((a, b) => a - b);
+			for (let event = 1; event <= events; event++) {
+				works.push({atMs: nowMs + (event * gapMs), costMs: costs.eventMs});
+			}
+
+			const rest = works.splice(nextWork).toSorted((a, b) => a.atMs - b.atMs);
+			works.push(...rest);
+		}
+	}
+
+	const usedAt = (atMs: number): number => used.findLast(([time]) => time <= atMs)?.[1] ?? 0;
+	return {answered, ingress, busyPart: (fromMs, toMs) => (usedAt(toMs) - usedAt(fromMs)) / (toMs - fromMs) / processorShare};
+};
+
+/** Largest time that a caller waited for its answer. */
+export const slowest = (answered: readonly Answered[]): number => Math.max(0, ...answered.map(({atMs, answeredMs}) => answeredMs - atMs));
+
+/** Part of a team's requests that was admitted. */
+export const admittedPart = (answered: readonly Answered[], team: string): number => {
+	const own = answered.filter(answer => answer.team === team);
+	return own.filter(({isAdmitted}) => isAdmitted).length / own.length;
+};
--- /dev/null
+++ b/test/admission/refusals.test.ts
@@ -0,0 +1,63 @@
+/** What a VM without room tells callers and operators. */
+import test from 'ava';
+import {createOverloadWatch} from '../../src/core/admission/overload-watch.js';
+import {createRefusalSummary} from '../../src/core/admission/refusal-summary.js';
+import {retryDelayMs} from '../../src/core/admission/retry-delay.js';
+
+const spread = (refusedPart: number, waitsMs: number | undefined): readonly number[] =>
+	Array.from({length: 100}, (_, index) => retryDelayMs(refusedPart, waitsMs, () => index / 100));
+
+test('callers that are refused together come back at different times, from 0.05 to 0.5 s', t => {
+	const delays = spread(1, 8000);
+	t.true(new Set(delays.map(delay => Math.floor(delay / 10))).size > 40);
+	t.true(Math.min(...delays) >= 50 && Math.max(...delays) <= 500);
+});
+
+test('few refusals are spread over a shorter time', t => {
+	t.true(Math.max(...spread(0.05, 8000)) < 150);
+});
+
+test('no caller is told to wait longer than a third of the time that it has left', t => {
+	for (const waitsMs of [30, 150, 600, 900, 1500]) {
+		t.true(Math.max(...spread(1, waitsMs)) <= waitsMs / 3, `${waitsMs} ms`);
+		t.true(Math.min(...spread(1, waitsMs)) > 0, `${waitsMs} ms`);
+	}
+});
+
+test('refusals of one reason and team become one line a second, with a few ids', t => {
+	const summary = createRefusalSummary();
+	for (let index = 0; index < 700; index++) {
+		summary.add({reason: 'VmOverloaded', team: 'flood', requestId: `r${index}`}, index);
+	}
+
+	summary.add({reason: 'VmOverloaded', team: 'small', requestId: 's0'}, 900);
+	t.deepEqual(summary.takeDue(999), []);
+	t.snapshot(summary.takeDue(1000));
+	t.deepEqual(summary.takeDue(1500), []);
+	t.snapshot(summary.takeAll(1600));
+	t.deepEqual(summary.takeAll(1600), []);
+});
+
+test('a VM stays in rotation while refusals keep it in time, and leaves it when they do not for two seconds', t => {
+	let isLate = false;
+	const watch = createOverloadWatch({ingress: {isOverloaded: () => false}, shed: {isOverloaded: () => isLate}, hasBudget: true});
+	const lookUntil = (fromMs: number, toMs: number) => {
+		for (let nowMs = fromMs; nowMs < toMs; nowMs += 250) {
+			watch.look(nowMs);
+		}
+
+		return watch.isOverloaded();
+	};
+
+	t.false(lookUntil(0, 5000));
+	isLate = true;
+	t.false(lookUntil(5000, 7000), 'a flood of two seconds moves nobody to another VM');
+	t.true(lookUntil(7000, 8000));
+	isLate = false;
+	t.false(lookUntil(8000, 8250));
+});
+
+test('without a budget a VM that is late asks for no new callers at once, as before', t => {
+	const watch = createOverloadWatch({ingress: {isOverloaded: () => false}, shed: {isOverloaded: () => true}, hasBudget: false});
+	t.true(watch.isOverloaded());
+});
