Queue of two tiers: late requests behind those in time, early rejection

Cause: a request was queued for 0.6 of its latency target and then refused, though it could be served late; one that could not leave the queue in time was queued all the same; targets that were gone left requests waiting.

Late requests start under the limits of requests that give way, after those in time, until their callers leave (`patienceMs`, computed by the platform's adapter, or the deadline). drain-rate.ts measures starts over the time with a queue; a request that cannot get its turn within its patience is refused on arrival (`no-turn`) or as soon as that is known. The first tier of plain services ends where nearly all answers would still be in time (answer-time.ts). Plain requests that give way take free slots only. The owner's room for a request past its patience is given back. Priorities are decoded and order the lanes. Smaller fleets keep their limits and order.

--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -44,6 +44,14 @@
 	readonly tried: readonly string[];
 	/** Whether the caller has part of the answer and waits for its next event. */
 	readonly isResumed: boolean;
+	/** Monotonic milliseconds at which the caller leaves when nothing has come; absent when it waits for its deadline. */
+	readonly callerLeavesMs?: number;
+	/** Monotonic milliseconds of the caller's first attempt, going by the time that it has left; absent when this is the first. */
+	readonly firstAttemptMs?: number;
+	/** Urgency by the configuration; 0 is the most urgent. */
+	readonly priority?: number;
+	/** Name of the route. */
+	readonly kind?: string;
 };
 
 /** What an answer says of its target's load. */
--- /dev/null
+++ b/src/core/placement/cost-ahead.ts
@@ -0,0 +1,32 @@
+/**
+ * What goes before a request in its queue: more urgent requests, those of its own team that
+ * are before it, and of each other team as much as that team may receive until both have
+ * received the same.
+ */
+import {type Lane} from './team-queues.js';
+
+export type QueuePlace = {
+	readonly team: string;
+	readonly priority: number;
+	/** Cost of the requests of the same team and priority that are before it. */
+	readonly ownCost: number;
+};
+
+export const costAhead = ({team, priority, ownCost}: QueuePlace, lanes: Iterable<Lane>, useOf: (team: string) => number): number => {
+	let ahead = ownCost;
+	const level = useOf(team) + ownCost;
+	const others = new Map<string, number>();
+	for (const lane of lanes) {
+		if (lane.priority < priority) {
+			ahead += lane.cost;
+		} else if (lane.priority === priority && lane.team !== team) {
+			others.set(lane.team, (others.get(lane.team) ?? 0) + lane.cost);
+		}
+	}
+
+	for (const [other, cost] of others) {
+		ahead += Math.min(cost, Math.max(0, level - useOf(other)));
+	}
+
+	return ahead;
+};
--- a/src/core/placement/messages.ts
+++ b/src/core/placement/messages.ts
@@ -4,6 +4,7 @@
 import {type LoadWord} from './placed-target.js';
 import {type SentPrompt} from './prompt-record.js';
 import {type LastDecline, type Outgoing, type PeerMessage} from './reservations.js';
+import {type QueueFacts} from './service-queue.js';
 import {type Closed} from './target-choice.js';
 import {type PlacedAsk} from './types.js';
 
@@ -42,13 +43,16 @@
 export type PlacementEffect =
 	/** Goes to another VM as soon as possible; it may be lost. */
 	| ({readonly kind: 'tell-peer'} & Outgoing)
-	| {readonly kind: 'grant'; readonly ask: PlacedAsk; readonly grantId: string; readonly target: TargetRecord; readonly because: PlacementReason}
+	| {readonly kind: 'grant'; readonly ask: PlacedAsk; readonly grantId: string; readonly target: TargetRecord; readonly because: PlacementReason; readonly queue?: QueueFacts}
 	| {
 		readonly kind: 'reject';
 		readonly ask: PlacedAsk;
-		readonly reason: 'no-target' | 'too-late';
+		/** `no-turn`: it could not get its turn while its caller stays. */
+		readonly reason: 'no-target' | 'too-late' | 'no-turn';
 		readonly retryAfterMs: number;
 		readonly givesWay: boolean;
+		/** Where it stood when it began to wait. */
+		readonly queue?: QueueFacts;
 		readonly closed?: Closed;
 		/** What the last owner that declined it said, in a large fleet. */
 		readonly lastDecline?: LastDecline | undefined;
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -1,11 +1,12 @@
 /**
  * Places the requests of one service on its targets. Every VM decides alone, on what it
  * sent itself, what the other VMs report and what answers tell. Requests that no target
- * can start in time wait; the team that received least lately goes first, here and
- * before teams of other VMs that received more.
+ * can start now wait in `service-queue.ts`; the team that received least lately goes first,
+ * here and before teams of other VMs that received more.
  */
 import {type RoutedService} from '../routing/types.js';
 import {type FleetLoads, type TeamLoad} from './fleet-loads.js';
+import {createAnswerTime} from './answer-time.js';
 import {coldLimit} from './cold-limit.js';
 import {planExchange} from './exchange-plan.js';
 import {
@@ -19,36 +20,23 @@
 	Reservations, type Outgoing, type PeerMessage, type ReserveResult,
 } from './reservations.js';
 import {createSentPrompts} from './sent-prompts.js';
+import {ServiceQueue, type Leaving, type Tier} from './service-queue.js';
 import {
 	chooseTarget, hasTargetLeft, heldOffMs, whyClosed, type Candidate, type ChoiceContext,
 } from './target-choice.js';
-import {TeamQueues} from './team-queues.js';
+import {noteEnd, noteObservation, type WordContext} from './target-word.js';
 import {TeamShares} from './team-shares.js';
 import {type FleetBounds, type PlacedAsk} from './types.js';
+import {plainWaitShare, reservedWaitShare} from './waiting-times.js';
 
-/** Part of the target latency for which a request waits before it is refused. */
-const WAIT_SHARE = 0.6;
-/**
- * Parts for a prompt for which room is reserved: until then it may start, with the time that
- * its own reading takes, and it waits for the least part in any case. One that can't be in
- * time any more is refused then, not later, so that its caller can come back.
- */
-const RESERVED_START_SHARE = 0.75;
-const RESERVED_MIN_WAIT_SHARE = 0.3;
-/** The same for a request whose caller has part of the answer: the rest is late already, and callers wait longer in mid-answer. */
-const RESUME_WAIT_SHARE = 2;
-/** Asks of one team that are looked at in one round; the first that can start does. */
-const LOOK_AHEAD = 4;
-/** Milliseconds after which a waiting team is reported to the other VMs. */
-const WAITS_AFTER_MS = 60;
-/** Retry-After bounds in milliseconds. */
+/** Retry-After bounds in milliseconds while a queue has no history, and in small fleets. */
 const MIN_RETRY_AFTER_MS = 300;
 const MAX_RETRY_AFTER_MS = 2000;
+/** Milliseconds after which a waiting team is reported to the other VMs. */
+const WAITS_AFTER_MS = 60;
 /** What is told when no target is known. */
 const NO_TARGET_RETRY_AFTER_MS = 1000;
 
-type Message<Kind extends PlacementMessage['kind']> = Extract<PlacementMessage, {kind: Kind}>;
-
 export type ServicePlacementOptions = {
 	readonly service: RoutedService;
 	readonly bounds: FleetBounds;
@@ -68,20 +56,17 @@
 /** Cost of a request for its team's share: a token read counts once, a token generated twice. */
 const costOf = ({prompt}: PlacedAsk): number => prompt ? prompt.tokens + (2 * prompt.outputTokens) : 1;
 
-/** Reading of the clock at which a request that still waits is refused. `share` is that of the target latency for a request that has not begun. */
-const waitEndMs = ({deadlineMs, arrivedMs, targetLatencyMs, isResumed}: PlacedAsk, share: number): number =>
-	Math.min(deadlineMs, arrivedMs + (targetLatencyMs * (isResumed ? RESUME_WAIT_SHARE : share)));
-
 const toPeers = (outgoing: readonly Outgoing[]): readonly PlacementEffect[] => outgoing.map(({vm, message}) => ({kind: 'tell-peer', vm, message}));
 
 export class ServicePlacement {
 	#service: RoutedService;
 	readonly #options: ServicePlacementOptions;
 	readonly #known: KnownTargets;
-	readonly #queues = new TeamQueues();
+	readonly #queue: ServiceQueue;
 	readonly #shares: TeamShares;
 	readonly #prompts: PromptRecord = createPromptRecord(() => this.#service.engine?.kvCapacityTokens ?? 0);
 	readonly #readRate: ReadRate = createReadRate();
+	readonly #answerTime = createAnswerTime();
 	#homes: readonly PlacedTarget[] = [];
 	#homesOfPrompt = new Map<number, readonly PlacedTarget[]>();
 	readonly #sent = createSentPrompts();
@@ -97,6 +82,14 @@
 		this.#reservations = new Reservations({
 			vm: options.vm, vms: options.vms, service: () => this.#service, targetOf: id => this.#known.get(id),
 		});
+		this.#queue = new ServiceQueue({
+			isTiered: () => this.#isSampled(),
+			waitShareOf: ask => this.#waitShareOf(ask),
+			startMsOf: ask => this.#startMsOf(ask),
+			costOf,
+			useOf: (team, nowMs) => this.#shares.useOf(team, nowMs),
+			random: options.random,
+		});
 	}
 
 	/** The targets of the service. */
@@ -106,15 +99,24 @@
 
 	/** Asks that wait. */
 	get waiting(): number {
-		return this.#queues.size;
+		return this.#queue.size;
 	}
 
 	/** What this VM reports of its teams. */
 	teamLoads(nowMs: number): readonly TeamLoad[] {
 		const sums = this.#shares.own(nowMs);
-		const teams = new Set([...sums.keys(), ...this.#queues.teams()]);
+		const teams = new Set(sums.keys());
+		const waiting = new Set<string>();
+		for (const {team, asks} of this.#queue.waiting()) {
+			teams.add(team);
+			// A shorter wait is an accident of one moment.
+			if (asks.some(({ask}) => nowMs - ask.arrivedMs > WAITS_AFTER_MS)) {
+				waiting.add(team);
+			}
+		}
+
 		return [...teams].map(team => ({
-			service: this.#service.name, team, ...(sums.get(team) ?? {use: 0, asked: 0}), waits: this.#hasWaited(team, nowMs),
+			service: this.#service.name, team, ...(sums.get(team) ?? {use: 0, asked: 0}), waits: waiting.has(team),
 		}));
 	}
 
@@ -143,7 +145,7 @@
 					this.#reservations.forget(id);
 				}
 
-				return [];
+				return this.#refuseUntargeted(nowMs);
 			}
 
 			case 'ask': {
@@ -151,17 +153,28 @@
 			}
 
 			case 'withdraw': {
-				this.#queues.remove(ask => ask.requestId === message.requestId);
+				this.#queue.remove(message.requestId);
 				return toPeers(this.#reservations.withdraw(message.requestId));
 			}
 
 			case 'end': {
-				this.#onEnd(message, nowMs);
+				const target = this.#known.get(message.target);
+				if (target) {
+					noteEnd(target, message, this.#wordContext(nowMs));
+					if (message.result.kind === 'answered') {
+						this.#answerTime.note(message.result.answerMs);
+					}
+				}
+
 				return toPeers(this.#reservations.noteProgress(message.grantId, true, nowMs));
 			}
 
 			case 'observe': {
-				this.#onObserve(message, nowMs);
+				const target = this.#known.get(message.target);
+				if (target) {
+					noteObservation(target, message, this.#wordContext(nowMs));
+				}
+
 				return message.observation.kind === 'first-token' ? toPeers(this.#reservations.noteProgress(message.grantId, false, nowMs)) : [];
 			}
 
@@ -185,10 +198,10 @@
 
 	#onTick(nowMs: number): readonly PlacementEffect[] {
 		const overdue = this.#reservations.isWaiting ? this.#onOverdue(nowMs) : [];
-		return this.#queues.isEmpty ? overdue : [...overdue, ...this.#expire(nowMs), ...this.#dispatch(nowMs)];
+		return this.#queue.isEmpty ? overdue : [...overdue, ...this.#expire(nowMs), ...this.#dispatch(nowMs)];
 	}
 
-	/** Starts the ask at once when nothing waits, else lets it wait for its turn. */
+	/** Starts the ask at once when nothing waits that goes before it, else lets it wait for its turn. */
 	#onAsk(ask: PlacedAsk, nowMs: number): readonly PlacementEffect[] {
 		const ctx = this.#context(nowMs);
 		if (ask.tried.length === 0) {
@@ -201,15 +214,21 @@
 			}];
 		}
 
-		if (this.#queues.isEmpty && this.#shares.useOf(ask.team, nowMs) <= this.#useCeiling(nowMs)) {
-			const effects = this.#tryStart(ask, this.#shares.isBeyondShare(ask.team, nowMs), ctx);
+		const tier = this.#queue.tierOf(ask, nowMs);
+		if (this.#queue.isOpen(tier) && !this.#queue.isPastPatience(ask, nowMs) && this.#shares.useOf(ask.team, nowMs) <= this.#useCeiling(nowMs)) {
+			const effects = this.#tryStart(ask, this.#givesWay(ask, tier, nowMs), ctx);
 			if (effects) {
 				return effects;
 			}
 		}
 
-		this.#queues.add(ask);
-		return [];
+		const refused = this.#queue.admit(ask, nowMs);
+		return refused ? [this.#reject(refused, ctx)] : [];
+	}
+
+	/** Late requests take only what the others leave. */
+	#givesWay({team}: PlacedAsk, tier: Tier, nowMs: number): boolean {
+		return tier === 'late' || this.#shares.isBeyondShare(team, nowMs);
 	}
 
 	/** Starts an ask or asks for room for it; undefined when no target takes it now. */
@@ -267,19 +286,25 @@
 
 	#onAnswered(grantId: string, {ask, result}: {readonly ask: PlacedAsk; readonly result: ReserveResult}, nowMs: number): readonly PlacementEffect[] {
 		const ctx = this.#context(nowMs);
-		if (result.kind === 'granted') {
-			return this.#mayStillStart(result.candidate, ctx)
-				? [this.#grant(grantId, ask, result.candidate, nowMs)]
-				: [...toPeers(this.#reservations.noteProgress(grantId, true, nowMs)), ...this.#retry(ask, ctx)];
+		if (result.kind !== 'granted') {
+			return this.#retry(ask, ctx);
 		}
 
-		return this.#retry(ask, ctx);
+		if (this.#mayStillStart(result.candidate, ctx) && !this.#queue.isPastPatience(ask, nowMs)) {
+			return [this.#grant(grantId, ask, result.candidate, nowMs)];
+		}
+
+		return [...toPeers(this.#reservations.noteProgress(grantId, true, nowMs)), ...this.#retry(ask, ctx)];
 	}
 
+	/** Tries again, unless others that wait go before it meanwhile. */
 	#retry(ask: PlacedAsk, ctx: ChoiceContext): readonly PlacementEffect[] {
-		const effects = this.#tryStart(ask, this.#shares.isBeyondShare(ask.team, ctx.nowMs), ctx);
+		const {nowMs} = ctx;
+		const tier = this.#queue.tierOf(ask, nowMs);
+		const mayTry = (tier === 'in-time' || this.#queue.isOpen(tier)) && !this.#queue.isPastPatience(ask, nowMs);
+		const effects = mayTry ? this.#tryStart(ask, this.#givesWay(ask, tier, nowMs), ctx) : undefined;
 		if (!effects) {
-			this.#queues.add(ask);
+			this.#queue.add(ask, nowMs);
 		}
 
 		return effects ?? [];
@@ -295,77 +320,28 @@
 		const effects: PlacementEffect[] = [];
 		const ctx = this.#context(nowMs);
 		for (const {id, ask, candidate} of this.#reservations.takeOverdue(nowMs)) {
-			if (candidate.fits && this.#mayStillStart(candidate, ctx)) {
+			if (candidate.fits && this.#mayStillStart(candidate, ctx) && !this.#queue.isPastPatience(ask, nowMs)) {
 				effects.push(this.#grant(id, ask, candidate, nowMs));
 			} else {
-				this.#queues.add(ask);
+				this.#queue.add(ask, nowMs);
 			}
 		}
 
 		return effects;
 	}
 
-	#onEnd({grantId, target: id, result}: Message<'end'>, nowMs: number): void {
-		const target = this.#known.get(id);
-		if (!target) {
-			return;
-		}
-
-		target.end(grantId);
-		// What a target says of the time to come back is no fault of it.
-		const isHeldOff = result.kind === 'overloaded' && target.heldOffMs(nowMs) > 0;
-		if (result.kind === 'failed' || (result.kind === 'overloaded' && !isHeldOff)) {
-			target.noteFailed(nowMs);
-		} else if (result.kind === 'answered') {
-			target.noteAnswered();
-			target.noteAlive(this.#service.coldStartMs, nowMs);
-		}
+	#wordContext(nowMs: number): WordContext {
+		return {coldStartMs: this.#service.coldStartMs, readRate: this.#readRate, nowMs};
 	}
 
-	#onObserve({grantId, target: id, observation}: Message<'observe'>, nowMs: number): void {
-		const target = this.#known.get(id);
-		if (!target) {
-			return;
-		}
-
-		switch (observation.kind) {
-			case 'load': {
-				target.noteAlive(this.#service.coldStartMs, nowMs);
-				target.noteLoad(observation.load, nowMs);
-				break;
-			}
-
-			case 'first-token': {
-				target.noteAlive(this.#service.coldStartMs, nowMs);
-				const backlog = target.readingTokens;
-				const placed = target.noteFirstToken(grantId);
-				if (placed) {
-					this.#readRate.note(Math.max(placed.newTokens, backlog / 2), nowMs - placed.sentMs);
-				}
-
-				break;
-			}
-
-			case 'misdirected': {
-				target.isMisdirected = true;
-				break;
-			}
-
-			case 'leaving': {
-				target.noteLeaving(nowMs);
-				break;
-			}
-
-			case 'held-off': {
-				target.noteHeldOff(observation.forMs, nowMs);
-				break;
-			}
-		}
+	/** Whether the fleet is so large that loads are a sample. */
+	#isSampled(): boolean {
+		return !planExchange(this.#options.vms().length - 1).isWhole;
 	}
 
 	/** Whether loads are a sample, so that room at model engines is reserved. */
 	#isReserved(): boolean {
-		return this.#service.engine !== undefined && !planExchange(this.#options.vms().length - 1).isWhole;
+		return this.#service.engine !== undefined && this.#isSampled();
 	}
 
 	/**
@@ -415,47 +391,22 @@
 		};
 	}
 
-	/** Starts what can start, the team that received least first. */
+	/** Starts what can start. */
 	#dispatch(nowMs: number): readonly PlacementEffect[] {
 		const effects: PlacementEffect[] = [];
 		const ctx = this.#context(nowMs);
-		const ceiling = this.#useCeiling(nowMs);
-		const uses = new Map([...this.#queues.teams()].map(team => [team, this.#shares.useOf(team, nowMs)]));
-		while (uses.size > 0) {
-			const use = Math.min(...uses.values());
-			const team = [...uses.keys()].find(name => uses.get(name) === use) ?? '';
-			const start = use <= ceiling && this.#firstStart(team, ctx);
-			if (start) {
-				this.#queues.removeOf(team, ask => ask === start.ask);
-				effects.push(...start.effects);
-				uses.set(team, use + costOf(start.ask));
-			}
-
-			if (!start || this.#queues.of(team).length === 0) {
-				uses.delete(team);
-			}
-		}
-
+		this.#queue.dispatch({
+			useCeiling: this.#useCeiling(nowMs),
+			isPaused: ask => this.#reservations.isPaused(ask, nowMs),
+			tryStart: (ask, tier) => {
+				const started = this.#tryStart(ask, this.#givesWay(ask, tier, nowMs), ctx);
+				effects.push(...started ?? []);
+				return started !== undefined;
+			},
+		}, nowMs);
 		return effects;
 	}
 
-	#firstStart(team: string, ctx: ChoiceContext): {readonly ask: PlacedAsk; readonly effects: readonly PlacementEffect[]} | undefined {
-		const givesWay = this.#shares.isBeyondShare(team, ctx.nowMs);
-		for (const ask of this.#queues.of(team).slice(0, LOOK_AHEAD)) {
-			const effects = this.#tryStart(ask, givesWay, ctx);
-			if (effects) {
-				return {ask, effects};
-			}
-		}
-
-		return undefined;
-	}
-
-	/** Whether the team has waited long enough that its wait is no accident of one moment. */
-	#hasWaited(team: string, nowMs: number): boolean {
-		return this.#queues.of(team).some(ask => nowMs - ask.arrivedMs > WAITS_AFTER_MS);
-	}
-
 	#grant(grantId: string, ask: PlacedAsk, {target, keys, newTokens, reason}: Candidate, nowMs: number): PlacementEffect {
 		const {prompt} = ask;
 		target.place(grantId, {
@@ -469,36 +420,69 @@
 
 		this.#reservations.noteStarted(ask);
 		this.#shares.noteStarted(ask.team, costOf(ask), nowMs);
+		const queue = this.#queue.noteStarted(ask, nowMs);
 		return {
-			kind: 'grant', ask, grantId, target: target.record, because: reason,
+			kind: 'grant', ask, grantId, target: target.record, because: reason, ...(queue && {queue}),
 		};
 	}
 
 	#expire(nowMs: number): readonly PlacementEffect[] {
-		const isReserved = this.#isReserved();
-		const late = this.#queues.remove(ask => nowMs >= waitEndMs(ask, isReserved && ask.prompt ? this.#reservedWaitShare(ask) : WAIT_SHARE));
-		if (late.length === 0) {
+		const leaving = this.#queue.expire(nowMs);
+		if (leaving.length === 0) {
 			return [];
 		}
 
 		const ctx = this.#context(nowMs);
-		return late.map(ask => {
-			const givesWay = this.#shares.isBeyondShare(ask.team, nowMs);
-			return {
-				kind: 'reject', ask, reason: 'too-late', retryAfterMs: this.#retryAfterMs(), givesWay, closed: whyClosed(ask, givesWay, ctx),
-				lastDecline: this.#reservations.takeLastDecline(ask.requestId),
-			};
-		});
+		return leaving.map(left => this.#reject(left, ctx));
 	}
 
-	#reservedWaitShare(ask: PlacedAsk): number {
-		return Math.max(RESERVED_MIN_WAIT_SHARE, RESERVED_START_SHARE - (this.#reservations.ownMsOf(ask) / ask.targetLatencyMs));
+	/** In a large fleet, what waits is refused as soon as no target is left for it. In a small one it may be back before the wait ends. */
+	#refuseUntargeted(nowMs: number): readonly PlacementEffect[] {
+		if (!this.#isSampled() || this.#queue.isEmpty) {
+			return [];
+		}
+
+		const ids = this.#known.usable().map(({record}) => record.id);
+		return this.#queue.removeAll(({tried}) => ids.every(id => tried.includes(id))).map(({ask, queue}) => ({
+			kind: 'reject', ask, reason: 'no-target', retryAfterMs: NO_TARGET_RETRY_AFTER_MS, givesWay: false, ...(queue && {queue}),
+		}));
+	}
+
+	#reject({ask, reason, queue}: Leaving, ctx: ChoiceContext): PlacementEffect {
+		const givesWay = this.#shares.isBeyondShare(ask.team, ctx.nowMs);
+		return {
+			kind: 'reject', ask, reason, givesWay, retryAfterMs: this.#retryAfterMs(ask, ctx.nowMs), closed: whyClosed(ask, givesWay, ctx),
+			lastDecline: this.#reservations.takeLastDecline(ask.requestId), ...(queue && {queue}),
+		};
+	}
+
+	#waitShareOf(ask: PlacedAsk): number | undefined {
+		if (!this.#isSampled()) {
+			return undefined;
+		}
+
+		if (this.#service.engine) {
+			return ask.prompt && reservedWaitShare(this.#reservations.ownMsOf(ask), ask);
+		}
+
+		return plainWaitShare(this.#answerTime.mostMs(), ask);
+	}
+
+	/** Milliseconds that a request's own prompt takes to read, by the last owner that declined it, else if nothing of it is kept; or that a plain one takes. */
+	#startMsOf(ask: PlacedAsk): number {
+		const {prompt} = ask;
+		if (prompt) {
+			return this.#reservations.ownMsOf(ask) || prompt.tokens / this.#readRate.tokensPerMs();
+		}
+
+		return this.#service.engine ? 0 : this.#answerTime.meanMs();
 	}
 
-	/** Time until what is being read now has been read, on average over the targets. */
-	#retryAfterMs(): number {
+	/** In a small fleet, the time until what is being read now has been read, on average over the targets. */
+	#retryAfterMs(ask: PlacedAsk, nowMs: number): number {
 		const targets = this.#known.all();
 		const tokens = targets.reduce((sum, target) => sum + target.readingTokens, 0) / Math.max(1, targets.length);
-		return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, tokens / this.#readRate.tokensPerMs()));
+		const backlogMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, tokens / this.#readRate.tokensPerMs()));
+		return this.#isSampled() ? this.#queue.retryAfterMs(ask, backlogMs, nowMs) : backlogMs;
 	}
 }
--- a/src/core/placement/start-limits.ts
+++ b/src/core/placement/start-limits.ts
@@ -29,6 +29,8 @@
 const LARGE_BACKLOG_SHARE = 0.03;
 /** Requests that a plain target may have for each slot, the rest waiting there. */
 const PLAIN_PER_SLOT = 2;
+/** The same for requests that give way: they take only slots that are free, and never wait at a target before others. */
+const PLAIN_YIELDING_PER_SLOT = 1;
 
 /** How a request is weighed. */
 export type StartTerms = {
@@ -61,7 +63,7 @@
 export const hasRoom = (ask: Pick<PlacedAsk, 'prompt' | 'isResumed'>, {slots, load: {running, heldTokens}}: Occupied, {service: {engine}, ...terms}: RoomContext): boolean => {
 	const {prompt} = ask;
 	if (!prompt || !engine) {
-		return running < slots * PLAIN_PER_SLOT;
+		return running < slots * (terms.givesWay ? PLAIN_YIELDING_PER_SLOT : PLAIN_PER_SLOT);
 	}
 
 	const {slotShare, memoryShare} = limitsOf(ask, terms);
--- /dev/null
+++ b/src/core/placement/target-word.ts
@@ -0,0 +1,58 @@
+/** Takes in what answers of a target tell of it, and how requests there ended. */
+import {type GrantResult, type Observation} from '../dispatch/types.js';
+import {type PlacedTarget} from './placed-target.js';
+import {type ReadRate} from './read-rate.js';
+
+export type WordContext = {
+	readonly coldStartMs: number;
+	readonly readRate: ReadRate;
+	readonly nowMs: number;
+};
+
+export const noteEnd = (target: PlacedTarget, {grantId, result}: {readonly grantId: string; readonly result: GrantResult}, {coldStartMs, nowMs}: WordContext): void => {
+	target.end(grantId);
+	// What a target says of the time to come back is no fault of it.
+	const isHeldOff = result.kind === 'overloaded' && target.heldOffMs(nowMs) > 0;
+	if (result.kind === 'failed' || (result.kind === 'overloaded' && !isHeldOff)) {
+		target.noteFailed(nowMs);
+	} else if (result.kind === 'answered') {
+		target.noteAnswered();
+		target.noteAlive(coldStartMs, nowMs);
+	}
+};
+
+export const noteObservation = (target: PlacedTarget, {grantId, observation}: {readonly grantId: string; readonly observation: Observation}, {coldStartMs, readRate, nowMs}: WordContext): void => {
+	switch (observation.kind) {
+		case 'load': {
+			target.noteAlive(coldStartMs, nowMs);
+			target.noteLoad(observation.load, nowMs);
+			break;
+		}
+
+		case 'first-token': {
+			target.noteAlive(coldStartMs, nowMs);
+			const backlog = target.readingTokens;
+			const placed = target.noteFirstToken(grantId);
+			if (placed) {
+				readRate.note(Math.max(placed.newTokens, backlog / 2), nowMs - placed.sentMs);
+			}
+
+			break;
+		}
+
+		case 'misdirected': {
+			target.isMisdirected = true;
+			break;
+		}
+
+		case 'leaving': {
+			target.noteLeaving(nowMs);
+			break;
+		}
+
+		case 'held-off': {
+			target.noteHeldOff(observation.forMs, nowMs);
+			break;
+		}
+	}
+};
--- a/src/core/placement/team-queues.ts
+++ b/src/core/placement/team-queues.ts
@@ -1,56 +1,114 @@
-/** Asks that wait, by team, in the order of their latency targets. */
+/** Asks of one tier that wait, in lanes of one team, priority and kind each, in the order in which they go. */
 import {type PlacedAsk} from './types.js';
 
-const latencyTargetOf = ({arrivedMs, targetLatencyMs}: PlacedAsk): number => arrivedMs + targetLatencyMs;
+/** Urgency of requests for which the configuration names no priority: less than those that are marked as most urgent, more than those that are marked down. */
+export const DEFAULT_PRIORITY = 1;
+
+export const priorityOf = ({priority = DEFAULT_PRIORITY}: Pick<PlacedAsk, 'priority'>): number => priority;
+
+export type WaitingAsk = {
+	readonly ask: PlacedAsk;
+	/** Share of the targets' work that it takes. */
+	readonly cost: number;
+	/** Reading of a clock; the least goes first within a team. */
+	readonly orderMs: number;
+};
+
+export type Lane = {
+	readonly team: string;
+	readonly priority: number;
+	/** Name of the requests' route, where it is known. */
+	readonly kind: string;
+	readonly waiting: readonly WaitingAsk[];
+	/** Cost of all that wait. */
+	readonly cost: number;
+};
+
+type MutableLane = {-readonly [Key in keyof Lane]: Lane[Key]} & {readonly waiting: WaitingAsk[]};
+
+const laneKey = ({team, kind = '', ...ask}: PlacedAsk): string => `${priorityOf(ask)}|${kind}|${team}`;
+
+/** Index of the first ask that goes after one with `orderMs`. */
+const indexAfter = (waiting: readonly WaitingAsk[], orderMs: number): number => {
+	let low = 0;
+	let high = waiting.length;
+	while (low < high) {
+		const middle = Math.floor((low + high) / 2);
+		if (waiting[middle]!.orderMs > orderMs) {
+			high = middle;
+		} else {
+			low = middle + 1;
+		}
+	}
+
+	return low;
+};
 
 export class TeamQueues {
-	readonly #queues = new Map<string, PlacedAsk[]>();
+	readonly #lanes = new Map<string, MutableLane>();
+	readonly #byId = new Map<string, WaitingAsk>();
 
 	get isEmpty(): boolean {
-		return this.#queues.size === 0;
+		return this.#byId.size === 0;
 	}
 
 	/** Asks that wait. */
 	get size(): number {
-		let size = 0;
-		for (const queue of this.#queues.values()) {
-			size += queue.length;
-		}
-
-		return size;
+		return this.#byId.size;
 	}
 
-	teams(): Iterable<string> {
-		return this.#queues.keys();
+	lanes(): Iterable<Lane> {
+		return this.#lanes.values();
 	}
 
-	of(team: string): readonly PlacedAsk[] {
-		return this.#queues.get(team) ?? [];
+	add(added: WaitingAsk): void {
+		const {ask} = added;
+		const key = laneKey(ask);
+		let lane = this.#lanes.get(key);
+		if (!lane) {
+			lane = {
+				team: ask.team, priority: priorityOf(ask), kind: ask.kind ?? '', waiting: [], cost: 0,
+			};
+			this.#lanes.set(key, lane);
+		}
+
+		lane.waiting.splice(indexAfter(lane.waiting, added.orderMs), 0, added);
+		lane.cost += added.cost;
+		this.#byId.set(ask.requestId, added);
 	}
 
-	add(ask: PlacedAsk): void {
-		const queue = this.#queues.get(ask.team);
-		if (!queue) {
-			this.#queues.set(ask.team, [ask]);
-			return;
+	/** Takes out one ask; false when it does not wait here. */
+	remove(requestId: string): boolean {
+		const removed = this.#byId.get(requestId);
+		if (!removed) {
+			return false;
 		}
 
-		const index = queue.findIndex(other => latencyTargetOf(other) > latencyTargetOf(ask));
-		queue.splice(index === -1 ? queue.length : index, 0, ask);
+		const key = laneKey(removed.ask);
+		const lane = this.#lanes.get(key)!;
+		this.#byId.delete(requestId);
+		lane.waiting.splice(lane.waiting.indexOf(removed), 1);
+		lane.cost -= removed.cost;
+		if (lane.waiting.length === 0) {
+			this.#lanes.delete(key);
+		}
+
+		return true;
 	}
 
 	/** Takes out the asks that `isMeant` names. */
-	remove(isMeant: (ask: PlacedAsk) => boolean): readonly PlacedAsk[] {
-		return [...this.#queues.keys()].flatMap(team => this.removeOf(team, isMeant));
-	}
+	removeAll(isMeant: (ask: PlacedAsk) => boolean): readonly WaitingAsk[] {
+		const removed: WaitingAsk[] = [];
+		for (const {waiting} of this.#lanes.values()) {
+			for (const entry of waiting) {
+				if (isMeant(entry.ask)) {
+					removed.push(entry);
+				}
+			}
+		}
 
-	removeOf(team: string, isMeant: (ask: PlacedAsk) => boolean): readonly PlacedAsk[] {
-		const queue = this.#queues.get(team) ?? [];
-		const removed = queue.filter(ask => isMeant(ask));
-		if (removed.length === queue.length) {
-			this.#queues.delete(team);
-		} else if (removed.length > 0) {
-			this.#queues.set(team, queue.filter(ask => !removed.includes(ask)));
+		for (const {ask} of removed) {
+			this.remove(ask.requestId);
 		}
 
 		return removed;
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -26,6 +26,10 @@
 	readonly timeoutMs: number;
 	/** Milliseconds from arrival within which an answer has its full value. */
 	readonly targetLatencyMs: number;
+	/** Milliseconds without an event, also before the first one, after which callers leave; absent when they wait for the final answer. */
+	readonly patienceMs?: number;
+	/** Urgency of its requests; 0 is the most urgent. */
+	readonly priority?: number;
 	/** Whether callers need no key. */
 	readonly isOpen: boolean;
 };
@@ -71,6 +75,8 @@
 	readonly services: ReadonlyMap<string, RoutedService>;
 	/** Team by key; absent when callers need no keys at all. */
 	readonly teamsByKey: ReadonlyMap<string, string> | undefined;
+	/** Urgency of teams' requests, which takes precedence over that of the route; absent teams have none of their own. */
+	readonly teamPriorities?: ReadonlyMap<string, number>;
 	readonly limits: CallerLimits;
 };
 
--- a/src/runtime/entry/attempt-inputs.ts
+++ b/src/runtime/entry/attempt-inputs.ts
@@ -26,10 +26,24 @@
 
 const noHistory: AskHistory = {tried: [], isResumed: false};
 
-/** A repeat has a latency target of its own, since the first one has usually passed. */
-const placementOf = (job: Job, {targetLatencyMs, prompt}: JobRoute, {tried, isResumed}: AskHistory, nowMs: number): AskPlacement => ({
-	targetLatencyMs, arrivedMs: tried.length === 0 ? job.arrivedMs : nowMs, tried, isResumed, ...(prompt && {prompt}),
-});
+/**
+ * A repeat has a latency target of its own, since the first one has usually passed. A caller
+ * that has part of the answer counts its patience from the last event, which came just now.
+ */
+const placementOf = (job: Job, route: JobRoute, {tried, isResumed}: AskHistory, nowMs: number): AskPlacement => {
+	const {name, targetLatencyMs, patienceMs, firstAttemptMs, priority, prompt} = route;
+	return {
+		targetLatencyMs,
+		arrivedMs: tried.length === 0 ? job.arrivedMs : nowMs,
+		tried,
+		isResumed,
+		kind: name,
+		...(patienceMs !== undefined && {callerLeavesMs: (isResumed ? nowMs : job.arrivedMs) + patienceMs}),
+		...(firstAttemptMs !== undefined && {firstAttemptMs}),
+		...(priority !== undefined && {priority}),
+		...(prompt && {prompt}),
+	};
+};
 
 /** The ask for a job, with its cost as expected now. */
 export const askOf = (job: Job, ctx: AttemptContext, history = noHistory): Ask => {
--- a/src/runtime/entry/job.ts
+++ b/src/runtime/entry/job.ts
@@ -43,5 +43,11 @@
 	/** Monotonic milliseconds until which the caller waits. */
 	readonly callerWaitsUntilMs: number;
 	readonly targetLatencyMs: number;
+	/** Milliseconds without an event after which the caller leaves; absent when it waits for the final answer. */
+	readonly patienceMs?: number;
+	/** Monotonic milliseconds of the caller's first attempt, going by the time that it has left. */
+	readonly firstAttemptMs?: number;
+	/** Urgency of the team or the route; 0 is the most urgent. */
+	readonly priority?: number;
 	readonly prompt?: Prompt;
 };
--- a/src/runtime/routing/placement-fields.ts
+++ b/src/runtime/routing/placement-fields.ts
@@ -1,5 +1,6 @@
 /** Fields of the log lines that tell what was decided of a request, with the inputs that decided it. */
 import {type PlacementEffect} from '../../core/placement/messages.js';
+import {type QueueFacts} from '../../core/placement/service-queue.js';
 
 type Reject = Extract<PlacementEffect, {kind: 'reject'}>;
 type Granted = Extract<PlacementEffect, {kind: 'grant'}>;
@@ -13,6 +14,14 @@
 	new_tokens: lastDecline.newTokens,
 };
 
+/** Where the request stood when it began to wait. */
+const queueFields = (queue: QueueFacts | undefined) => queue && {
+	tier: queue.tier,
+	position: queue.position,
+	cost_ahead: Math.round(queue.costAhead),
+	...(queue.costPerMs !== undefined && {drain_per_s: Math.round(queue.costPerMs * 1000)}),
+};
+
 export const rejectFields = (service: string, effect: Reject, nowMs: number) => ({
 	request_id: effect.ask.requestId,
 	service,
@@ -27,11 +36,12 @@
 		late: effect.closed.late,
 	}),
 	...declineFields(effect),
+	...queueFields(effect.queue),
 	retry_after_ms: Math.round(effect.retryAfterMs),
 	waited_ms: Math.round(nowMs - effect.ask.arrivedMs),
 });
 
-export const grantFields = (service: string, {ask, target, because}: Granted) => ({
+export const grantFields = (service: string, {ask, target, because, queue}: Granted) => ({
 	request_id: ask.requestId,
 	service,
 	target: target.id,
@@ -42,6 +52,7 @@
 	others: because.othersRunning,
 	cold: because.isCold,
 	gives_way: because.givesWay,
+	...queueFields(queue),
 	heartbeat_age_ms: Math.round(because.heartbeatAgeMs),
 	waited_ms: Math.round(because.waitedMs),
 });
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -2,7 +2,7 @@
 import {type Clock} from '../../core/clock.js';
 import {type Grant, type PendingAsk, type Scheduler} from '../../core/dispatch/types.js';
 import {RefusalError} from '../../core/errors/refusal-error.js';
-import {DeadlinePassed, NoTarget} from '../../core/errors/refusals-data.js';
+import {DeadlinePassed, DeadlineUnreachable, NoTarget} from '../../core/errors/refusals-data.js';
 import {
 	type LeavingTarget, type ObservedLoad, type PlacementEffect, type PlacementMessage,
 } from '../../core/placement/messages.js';
@@ -65,6 +65,8 @@
 	readonly waiting: () => ReadonlyMap<string, number>;
 };
 
+const refusalOf = {'no-target': NoTarget, 'too-late': DeadlinePassed, 'no-turn': DeadlineUnreachable} as const;
+
 type Waiter = {
 	readonly resolve: (grant: Grant) => void;
 	readonly reject: (err: RefusalError) => void;
@@ -93,7 +95,7 @@
 			waiters.delete(effect.ask.requestId);
 			if (effect.kind === 'reject') {
 				log.info('request not placed', rejectFields(service, effect, clock.nowMs()));
-				waiter?.reject(new RefusalError(effect.reason === 'no-target' ? NoTarget : DeadlinePassed, {service}, {retryAfterMs: effect.retryAfterMs}));
+				waiter?.reject(new RefusalError(refusalOf[effect.reason], {service, waitMs: Math.round(effect.retryAfterMs)}, {retryAfterMs: effect.retryAfterMs}));
 				continue;
 			}
 
--- a/src/runtime/routing/route-request.ts
+++ b/src/runtime/routing/route-request.ts
@@ -34,7 +34,8 @@
 		throw new RefusalError(Unauthenticated);
 	}
 
-	return {route, team};
+	const priority = (team === undefined ? undefined : config.teamPriorities?.get(team)) ?? route.priority;
+	return {route, team, priority};
 };
 
 const repeatOf = ({kind, isResumable}: Route): ServiceConfig['repeat'] =>
@@ -43,7 +44,7 @@
 /** Makes the job of a routed request whose body has been read. */
 export const createJob = (
 	req: IncomingMessage,
-	{head, routed: {route, team}, body, arrivedMs}: {readonly head: RoutedHead; readonly routed: Routed; readonly body: Uint8Array; readonly arrivedMs: number},
+	{head, routed: {route, team, priority}, body, arrivedMs}: {readonly head: RoutedHead; readonly routed: Routed; readonly body: Uint8Array; readonly arrivedMs: number},
 	{wire, random}: {readonly wire: CallerWire; readonly random: () => number},
 ): Job => {
 	const service = chooseService(route.services, random);
@@ -52,6 +53,8 @@
 	}
 
 	const callerWaitsUntilMs = arrivedMs + (head.waitsMs ?? route.timeoutMs);
+	// A caller that comes back has less time left than the route allows.
+	const firstAttemptMs = Math.min(arrivedMs, callerWaitsUntilMs - route.timeoutMs);
 	const endByMs = Math.min(callerWaitsUntilMs, arrivedMs + route.timeoutMs);
 	const prompt = wire.readPrompt(req.headers);
 	return {
@@ -72,6 +75,9 @@
 		startByMs: endByMs,
 		route: {
 			name: route.name, maxTargets: route.maxTargets, isResumable: route.isResumable, endByMs, callerWaitsUntilMs, targetLatencyMs: route.targetLatencyMs,
+			firstAttemptMs,
+			...(route.patienceMs !== undefined && {patienceMs: route.patienceMs}),
+			...(priority !== undefined && {priority}),
 			...(prompt && {prompt}),
 		},
 	};
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -75,6 +75,8 @@
 export type Routed = {
 	readonly route: Route;
 	readonly team: string | undefined;
+	/** Urgency of the team, else of the route; absent when neither has one. */
+	readonly priority: number | undefined;
 };
 
 export type RoutingBounds = FleetBounds & {
--- /dev/null
+++ b/test/placement/two-tiers.test.ts
@@ -0,0 +1,84 @@
+import test from 'ava';
+import {
+	countOf, runQueue, type QueueLoad,
+} from './_queue-load.js';
+
+const TARGET_LATENCY_MS = 300;
+/** Two targets of 6 slots at 100 ms run 120 requests a second. */
+const CAPACITY_PER_S = 120;
+const BURST = {fromMs: 1000, toMs: 2500};
+
+/** A wave of 1.6 times the capacity between times of 0.4 times. */
+const burst: Omit<QueueLoad, 'seed'> = {
+	vms: 58,
+	targets: 2,
+	slots: 6,
+	serviceMs: draw => 50 + (100 * draw),
+	forMs: 8000,
+	requestsPerS: nowMs => CAPACITY_PER_S * (nowMs >= BURST.fromMs && nowMs < BURST.toMs ? 1.6 : 0.4),
+	requestOf: (_, index) => ({team: `team-${index % 6}`, placement: {targetLatencyMs: TARGET_LATENCY_MS}, timeLeftMs: 4000}),
+};
+
+test('requests that a burst makes late are served when it is over, if their callers stay', t => {
+	for (const seed of [1, 2, 3]) {
+		const run = runQueue({...burst, seed});
+		const refused = countOf(run, 'refused');
+		t.true(countOf(run, 'late') >= 20, `seed ${seed}: ${countOf(run, 'late')} late`);
+		t.true(refused <= run.outcomes.length * 0.03, `seed ${seed}: ${refused} of ${run.outcomes.length} refused`);
+	}
+});
+
+test('late requests cost those in time nothing', t => {
+	for (const seed of [1, 2, 3]) {
+		const withTier = countOf(runQueue({...burst, seed}), 'in-time');
+		const without = countOf(runQueue({...burst, seed, vms: 7}), 'in-time');
+		t.true(countOf(runQueue({...burst, seed}), 'late') > 0);
+		t.true(withTier >= without * 0.97, `seed ${seed}: ${withTier} in time, ${without} without the second tier`);
+	}
+});
+
+test('while overload goes on, what cannot get its turn is refused on arrival', t => {
+	for (const seed of [1, 2, 3]) {
+		// 1.5 times the capacity for 12 s; streams whose callers leave after 2 s.
+		const run = runQueue({
+			...burst, seed, forMs: 12_000, requestsPerS: () => CAPACITY_PER_S * 1.5,
+			requestOf: (_, index) => ({team: `team-${index % 6}`, placement: {targetLatencyMs: TARGET_LATENCY_MS}, timeLeftMs: 2000}),
+		});
+		const settled = run.outcomes.filter(({decidedMs}) => decidedMs > 4000);
+		const refused = settled.filter(({kind}) => kind === 'refused');
+		const atOnce = refused.filter(({afterMs}) => afterMs <= TARGET_LATENCY_MS / 8);
+		t.true(refused.length > 0);
+		t.true(atOnce.length >= refused.length * 0.5, `seed ${seed}: ${atOnce.length} of ${refused.length} refused at once`);
+		t.true(refused.every(({afterMs}) => afterMs <= TARGET_LATENCY_MS / 2), `seed ${seed}: a refusal after more than half of the latency target`);
+		const inTime = settled.filter(({kind}) => kind === 'in-time').length;
+		t.true(inTime >= CAPACITY_PER_S * 8 * 0.95, `seed ${seed}: ${inTime} in time`);
+	}
+});
+
+test('a VM without history refuses nobody on arrival', t => {
+	const run = runQueue({
+		...burst, seed: 4, forMs: 150, requestsPerS: () => 1000,
+	});
+	t.is(countOf(run, 'refused'), 0);
+	t.true(run.outcomes.length >= 24);
+});
+
+test('requests that a stopped process finds past their callers\' patience are refused, not sent', t => {
+	const run = runQueue({
+		...burst, seed: 5, requestsPerS: () => CAPACITY_PER_S * 1.5, forMs: 8000, frozen: {fromMs: 3000, toMs: 7000},
+		requestOf: (_, index) => ({team: `team-${index % 6}`, placement: {targetLatencyMs: TARGET_LATENCY_MS}, timeLeftMs: 2000}),
+	});
+	const sentPast = run.started.filter(({ask, atMs}) => atMs >= ask.deadlineMs);
+	t.deepEqual(sentPast, []);
+	t.true(countOf(run, 'refused', ({decidedMs}) => decidedMs >= 7000) > 0);
+});
+
+test('what waits is refused at once when its last target is gone', t => {
+	const run = runQueue({
+		...burst, seed: 6, forMs: 3000, requestsPerS: nowMs => nowMs < 2000 ? CAPACITY_PER_S * 1.5 : 0,
+		news: [0, 1].map(id => ({atMs: 2000, message: {kind: 'target-gone', id: `t${id}`}})),
+	});
+	const after = run.outcomes.filter(({decidedMs}) => decidedMs >= 2000);
+	t.true(after.length > 0);
+	t.true(after.every(({kind, reason, decidedMs}) => kind === 'refused' && reason === 'no-target' && decidedMs <= 2010));
+});
