Give a prompt up only when it is lost, not when it starts late

Cause: a call that had not begun to answer after 1.5 latency targets was ended and started elsewhere. Under overload all prompts start late, so prompts were prefilled twice and all later ones were delayed further.

Change: core/placement/awaited-starts.ts keeps, for each run of an engine, the prompts that this VM awaits there. A prompt is lost when one that was sent 50 ms later or more to the same run has begun (not counting prompts of under 500 new tokens, and after the time of its own prefill at 20 tokens/ms), when the engine showed no sign of life for 1.5 latency targets (1.5 s at the least in a large fleet, where most signs come in the reports of other VMs), when the engine was replaced, or one latency target before its caller gives up. relay-call.ts asks when its timer fires, and again every 100 ms. A timer that fires 250 ms late counts as a stop of this process, and silence counts from its end. Requests to plain targets, and those without a prompt, keep the fixed time.

Ruled out: a longer fixed time, which notices a dropped prompt only when its caller leaves. A test over two whole stand-in engines was tried and replaced by one of the call alone: whether both engines showed signs of life within 450 ms depended on the load of the machine.

--- a/src/core/placement/placed-target.ts
+++ b/src/core/placement/placed-target.ts
@@ -4,6 +4,7 @@
  */
 import {type ReportedLoad} from '../dispatch/types.js';
 import {type TargetRecord} from '../routing/types.js';
+import {AwaitedStarts} from './awaited-starts.js';
 import {createSlidingCount, type SlidingCount} from './sliding-count.js';
 
 /** Milliseconds for which a load report is taken into account. */
@@ -43,6 +44,8 @@
 
 export class PlacedTarget {
 	record: TargetRecord;
+	/** Prompts of this VM that it has not begun to answer. */
+	readonly awaited = new AwaitedStarts();
 	/** Addresses are reused: true while this one answers for another process. */
 	isMisdirected = false;
 	/** Whether its answers say that it leaves, or those to another VM; until its next run. */
@@ -102,6 +105,7 @@
 		const isNews = restarted || record.sequence !== this.record.sequence;
 		this.record = record;
 		if (restarted) {
+			this.awaited.noteRestart();
 			this.isMisdirected = false;
 			this.#leavingSinceMs = undefined;
 			this.#heldOffUntilMs = -Infinity;
@@ -176,10 +180,15 @@
 		this.#readingTokens += placed.newTokens;
 		this.#heldTokens += placed.heldTokens;
 		this.#started.add(nowMs);
+		if (placed.isReading) {
+			// Output tokens only lengthen what a prompt is allowed to take.
+			this.awaited.noteSent(grantId, {newTokens: placed.newTokens, promptTokens: placed.heldTokens}, nowMs);
+		}
 	}
 
 	/** The prompt has been read; returns the request as it was. */
-	noteFirstToken(grantId: string): Placed | undefined {
+	noteFirstToken(grantId: string, nowMs: number): Placed | undefined {
+		this.awaited.noteBegun(grantId, nowMs);
 		const placed = this.#placed.get(grantId);
 		if (!placed?.isReading) {
 			return undefined;
@@ -191,6 +200,7 @@
 	}
 
 	end(grantId: string): void {
+		this.awaited.noteEnded(grantId);
 		const placed = this.#placed.get(grantId);
 		if (!placed) {
 			return;
@@ -209,6 +219,7 @@
 	 * @param toThisVm - Whether it was said here, not to another VM.
 	 */
 	noteLoad(load: LoadWord, atMs: number, toThisVm = true): void {
+		this.awaited.noteSign(atMs);
 		if (!this.#load || atMs >= this.#load.atMs) {
 			this.#load = {
 				...load, atMs, own: this.running, toThisVm,
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -338,7 +338,7 @@
 			case 'first-token': {
 				target.noteAlive(this.#service.coldStartMs, nowMs);
 				const backlog = target.readingTokens;
-				const placed = target.noteFirstToken(grantId);
+				const placed = target.noteFirstToken(grantId, nowMs);
 				if (placed) {
 					this.#readRate.note(Math.max(placed.newTokens, backlog / 2), nowMs - placed.sentMs);
 				}
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -6,6 +6,8 @@
 import {
 	type LeavingTarget, type ObservedLoad, type PlacementEffect, type PlacementMessage,
 } from '../../core/placement/messages.js';
+import {type Loss, type WaitLimits} from '../../core/placement/awaited-starts.js';
+import {planExchange} from '../../core/placement/exchange-plan.js';
 import {type FleetLoads, type TargetLoad, type TeamLoad} from '../../core/placement/fleet-loads.js';
 import {type SentPrompt} from '../../core/placement/prompt-record.js';
 import {type PeerMessage} from '../../core/placement/reservations.js';
@@ -41,7 +43,25 @@
 	readonly tellPeer: (vm: string, service: string, message: PeerMessage) => void;
 };
 
+/**
+ * Milliseconds without a sign of life after which an engine of a large fleet counts as
+ * silent, at the least: most signs are heard of in the reports of other VMs, some two a
+ * second of each engine, so that a healthy one is not heard of for as long once in 20 times.
+ */
+const SAMPLED_SILENCE_MS = 1500;
+
+/** What a call that waits for a model engine tells, and asks. */
+export type StartWatch = {
+	/** The first byte is written now. */
+	readonly noteWritten: (grant: Grant) => void;
+	/** The target sends something. */
+	readonly noteSign: (grant: Grant) => void;
+	/** Why a prompt is lost; `not-judged` unless it was sent to a model engine that is known. */
+	readonly lossOf: (grant: Grant, limits: WaitLimits) => Loss | 'not-judged' | undefined;
+};
+
 export type PlacementScheduler = Required<Scheduler> & {
+	readonly starts: StartWatch;
 	readonly onNews: (news: FleetNews) => void;
 	readonly onUnreachable: (address: string) => void;
 	readonly stop: () => void;
@@ -173,7 +193,29 @@
 		};
 	};
 
+	const targetOf = ({grantId, target}: Grant) => placements.get(serviceOfGrant.get(grantId) ?? '')?.known.get(target);
+
+	const starts: StartWatch = {
+		noteWritten(grant) {
+			targetOf(grant)?.awaited.noteWritten(grant.grantId, clock.nowMs());
+		},
+		noteSign(grant) {
+			targetOf(grant)?.awaited.noteSign(clock.nowMs());
+		},
+		lossOf(grant, limits) {
+			const service = serviceOfGrant.get(grant.grantId) ?? '';
+			const target = targetOf(grant);
+			if (!target || !view.inForce()?.config.services.get(service)?.engine) {
+				return 'not-judged';
+			}
+
+			const silenceMs = Math.max(limits.silenceMs, planExchange(vms().length - 1).isWhole ? 0 : SAMPLED_SILENCE_MS);
+			return target.awaited.lossOf(grant.grantId, {...limits, silenceMs}, clock.nowMs());
+		},
+	};
+
 	return {
+		starts,
 		ask: wish => ask(wish.service, {
 			...wish, ...(wish.placement ?? {
 				targetLatencyMs: DEFAULT_LATENCY_MS, arrivedMs: clock.nowMs(), tried: [], isResumed: false,
--- a/src/runtime/routing/relay-call.ts
+++ b/src/runtime/routing/relay-call.ts
@@ -15,7 +15,9 @@
 import {type CallOptions, type CreateCalls, type RunningCall} from '../entry/running-call.js';
 import {createStallTimer, type StallTimer} from '../entry/stall-timer.js';
 import {type Log} from '../observe/log.js';
+import {SILENT_FACTOR} from '../../core/placement/awaited-starts.js';
 import {createEventRelay, type EventRelay} from './event-relay.js';
+import {type StartWatch} from './placement-scheduler.js';
 import {type TargetAnswerKind, type TargetWire} from './types.js';
 
 /** Plain answers up to this many bytes are checked whole before the caller gets any. */
@@ -31,8 +33,13 @@
 /** Bytes of a plain answer that is passed on while it arrives; callers' requests may have 4 MiB at most. */
 const MAX_PASSED_BYTES = 67_108_864;
 
-/** Multiple of the target latency after which a target that has not begun to answer counts as silent. */
-const SILENT_FACTOR = 1.5;
+/** Milliseconds between looks whether a prompt that starts late is lost. */
+const LOOK_AGAIN_MS = 100;
+/** Milliseconds by which a timer comes late when this process was stopped; a small VM under load is some 30 ms late. */
+const STOPPED_MS = 250;
+/** A caller gives a stream up after this many milliseconds without an event, and at least this multiple of its latency target. */
+const MIN_PATIENCE_MS = 2000;
+const PATIENCE_FACTOR = 4;
 
 export type RelayOptions = {
 	readonly wire: TargetWire;
@@ -40,6 +47,7 @@
 	readonly clock: Clock;
 	readonly log: Log;
 	readonly observe: (grant: CallOptions['grant'], observation: Observation) => void;
+	readonly starts: StartWatch;
 };
 
 /** What the calls of one attempt share. */
@@ -48,6 +56,7 @@
 	readonly answer: CallerAnswer;
 	readonly events: EventRelay;
 	hasBegun: boolean;
+	calls: number;
 };
 
 const isEvents = (headers: IncomingHttpHeaders): boolean => String(headers['content-type'] ?? '').startsWith('text/event-stream');
@@ -68,6 +77,9 @@
 	readonly #stall: StallTimer;
 	#call: Call | undefined;
 	#silentTimer: NodeJS.Timeout | undefined;
+	#writtenMs = -Infinity;
+	/** Since when this process has run without a stop, as far as that was noticed. */
+	#awakeSinceMs = -Infinity;
 	#open = true;
 	#isStream = false;
 	#cancelled = false;
@@ -108,7 +120,7 @@
 			onWriting: () => {
 				const mayStart = this.#open && mayWrite();
 				if (mayStart) {
-					this.#watchSilence();
+					this.#onWritten();
 				}
 
 				return mayStart;
@@ -162,11 +174,58 @@
 		this.#deliverCollected();
 	}
 
-	#watchSilence(): void {
+	#onWritten(): void {
+		const {starts, grant, clock} = this.#options;
+		this.#writtenMs = clock.nowMs();
+		this.#progress.calls++;
+		starts.noteWritten(grant);
+		this.#watchSilence(this.#silenceMs());
+	}
+
+	#silenceMs(): number {
+		return (this.#progress.job.route?.targetLatencyMs ?? STREAM_STALL_MS) * SILENT_FACTOR;
+	}
+
+	#watchSilence(forMs: number): void {
 		clearTimeout(this.#silentTimer);
+		const dueMs = this.#options.clock.nowMs() + forMs;
 		this.#silentTimer = setTimeout(() => {
-			this.#options.tell({kind: 'silent'});
-		}, (this.#progress.job.route?.targetLatencyMs ?? STREAM_STALL_MS) * SILENT_FACTOR);
+			this.#onUnanswered(dueMs);
+		}, forMs);
+	}
+
+	/** A prompt at a model engine is given up only when it is lost; any other request when its time is over. */
+	#onUnanswered(dueMs: number): void {
+		const {starts, grant, clock, log, tell} = this.#options;
+		const {job} = this.#progress;
+		const nowMs = clock.nowMs();
+		const limits = {
+			silenceMs: this.#silenceMs(), awakeSinceMs: this.#awakeSinceMs, endMs: this.#lastStartMs(), isStream: job.mode === 'stream',
+		};
+		const loss = job.route?.prompt ? starts.lossOf(grant, limits) : 'not-judged';
+		if (loss === 'not-judged') {
+			tell({kind: 'silent'});
+		} else if (nowMs > dueMs + STOPPED_MS) {
+			// What arrived while this process was stopped has not been read yet.
+			this.#awakeSinceMs = nowMs;
+			this.#watchSilence(LOOK_AGAIN_MS);
+		} else if (loss) {
+			log.info('prompt lost', {
+				request_id: job.requestId, target: grant.target, reason: loss.reason, sent_for_ms: Math.round(loss.sentForMs),
+				sign_age_ms: loss.signAgeMs && Math.round(loss.signAgeMs), overtaken_for_ms: loss.overtakenForMs && Math.round(loss.overtakenForMs),
+			});
+			tell({kind: 'silent'});
+		} else {
+			this.#watchSilence(LOOK_AGAIN_MS);
+		}
+	}
+
+	/** Reading of the clock after which another target could not begin to answer before the caller gives up. */
+	#lastStartMs(): number {
+		const {job: {arrivedMs, route}, calls} = this.#progress;
+		const targetLatencyMs = route?.targetLatencyMs ?? STREAM_STALL_MS;
+		const fromMs = calls > 1 ? this.#writtenMs : arrivedMs;
+		return Math.min(route?.callerWaitsUntilMs ?? Infinity, fromMs + Math.max(MIN_PATIENCE_MS, targetLatencyMs * PATIENCE_FACTOR)) - targetLatencyMs;
 	}
 
 	#finish(message: Parameters<CallOptions['tell']>[0]): void {
@@ -269,6 +328,7 @@
 	}
 
 	#relay(chunk: Uint8Array): void {
+		this.#options.starts.noteSign(this.#options.grant);
 		const {events, answer} = this.#progress;
 		const whole = events.feed(chunk);
 		// Only whole events are progress: single bytes may come for ever.
@@ -383,7 +443,7 @@
 export const createRelayCalls = (options: RelayOptions): CreateCalls => (job, answer) => {
 	const afterEvent = job.request.headers['last-event-id'];
 	const progress: Progress = {
-		job, answer, events: createEventRelay(typeof afterEvent === 'string' ? afterEvent : undefined), hasBegun: false,
+		job, answer, events: createEventRelay(typeof afterEvent === 'string' ? afterEvent : undefined), hasBegun: false, calls: 0,
 	};
 	return call => new RelayCall({...options, ...call}, progress);
 };
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -180,7 +180,7 @@
 		retryBudget: createRetryShare(bounds, () => vms().length),
 		estimator: createCostEstimator(),
 		createCalls: createRelayCalls({
-			wire: targetWire, pool: address => pools.get(address), clock, log, observe: scheduler.observe,
+			wire: targetWire, pool: address => pools.get(address), clock, log, observe: scheduler.observe, starts: scheduler.starts,
 		}),
 	};
 	const ctx: ServeContext = {
