--- a/src/core/placement/target-word.ts
+++ b/src/core/placement/target-word.ts
@@ -32,7 +32,7 @@
 		case 'first-token': {
 			target.noteAlive(coldStartMs, nowMs);
 			const backlog = target.readingTokens;
-			const placed = target.noteFirstToken(grantId);
+			const placed = target.noteFirstToken(grantId, nowMs);
 			if (placed) {
 				readRate.note(Math.max(placed.newTokens, backlog / 2), nowMs - placed.sentMs);
 			}
