Bound what a router holds for slow callers and targets together

Cause: backpressure bounded what one slow caller held (some 260 KB with its target's buffers), nothing bounded all of them. An answer of up to 256 KB was given to the connection in one piece, so that what its caller had read of it did not show.

Change: src/core/memory accounts for bodies, collected answers, unfinished events and unread answers of each request, the buffers of its paused target included. Above 0.12 of limits.memory_mb (of 210 MB where absent) requests are refused as VmOutOfMemory (503, 0.1 to 0.6 s, at most a third of the time that the caller waits) and answers whose caller has read nothing for a second are ended, down to 0.75 of that bound; above 0.2 the slowest and largest are ended at once, with 64 KB or less and progress never. Bodies that still arrive are refused above the second bound. Long answers go to the connection in slices of 64 KB; connections to targets take in 16 KB less than one read more while paused; plain answers pass from 16 KB on while memory is short; what arrives for a caller that has left is not collected.

--- a/src/core/errors/refusals-data.ts
+++ b/src/core/errors/refusals-data.ts
@@ -105,6 +105,16 @@
 	retryable: true,
 } as const satisfies RefusalData;
 
+export const VmOutOfMemory = {
+	name: 'VmOutOfMemory',
+	title: 'This VM holds too much for slow callers and targets.',
+	message: () => 'This VM has no memory for another request; others may have.',
+	hint: 'Come back after the time in Retry-After, on a new connection, which may reach another VM.',
+	status: 503,
+	notRun: true,
+	retryable: true,
+} as const satisfies RefusalData;
+
 export const QueueFull = {
 	name: 'QueueFull',
 	title: 'The team has too many requests waiting.',
--- a/src/runtime/entry/caller-answer.ts
+++ b/src/runtime/entry/caller-answer.ts
@@ -1,11 +1,17 @@
 /** The answer to one caller: written once, whole or with an explicit error. */
+import {Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
 import {type RefusalError} from '../../core/errors/refusal-error.js';
+import {noAccount, type HeldAccount} from '../memory/held-accounts.js';
 import {type Headers} from './job.js';
 import {errorEvent, writeRefusal} from './refuse.js';
 
 /** Milliseconds that a slow caller gets to read a refusal before its connection is cut. */
 const REFUSAL_READ_MS = 5000;
+/** Bytes given to the connection at once, as many as one read brings, so that what a slow caller reads of a long answer shows. */
+const SLICE_BYTES = 65_536;
+/** Bytes that the connection to a target holds while it is paused: what was read before, and one more read. */
+const PAUSED_TARGET_BYTES = 81_920;
 
 /**
  * Writes after the end, or after the caller has gone, have no effect, so that a late
@@ -31,6 +37,8 @@
 	readonly hasLeft: () => boolean;
 	/** Called once when the caller goes before the end of the answer. */
 	readonly onLeft: (listener: () => void) => void;
+	/** What is held for the caller. */
+	readonly account: HeldAccount;
 };
 
 const endWithin = (res: ServerResponse, limitMs: number): void => {
@@ -56,11 +64,68 @@
 });
 
 /** Wraps a response. */
-export const createCallerAnswer = (res: ServerResponse, requestId: string, answerForm = ownForm(requestId)): CallerAnswer => {
+export const createCallerAnswer = (res: ServerResponse, requestId: string, answerForm = ownForm(requestId), account = noAccount): CallerAnswer => {
 	let form: 'none' | 'events' | 'bytes' | 'until-close' = 'none';
 	let ended = false;
+	/** What the connection has not taken yet, in order. */
+	let queue: Uint8Array[] = [];
+	let queueBytes = 0;
+	/** Whether the answer ends after the queue. */
+	let endsAfterQueue = false;
+	let isUnread = false;
 	res.once('close', () => {
 		ended = true;
+		queue = [];
+		queueBytes = 0;
+		account.set('unread', 0);
+	});
+	res.once('finish', () => {
+		noteUnread();
+	});
+
+	function noteUnread(): void {
+		const isBlocked = queueBytes > 0 || res.writableNeedDrain || (res.writableEnded && !res.writableFinished && res.writableLength > 0);
+		if (isBlocked || isUnread) {
+			isUnread = isBlocked;
+			account.set('unread', isBlocked ? queueBytes + res.writableLength + PAUSED_TARGET_BYTES : 0);
+		}
+	}
+
+	/** Gives the connection what it takes; the rest follows as the caller reads. */
+	const flush = (): void => {
+		while (queueBytes > 0 && !res.writableNeedDrain && !res.destroyed) {
+			const [first = Buffer.alloc(0), ...others] = queue;
+			const slice = first.subarray(0, SLICE_BYTES);
+			queue = slice.length < first.length ? [first.subarray(SLICE_BYTES), ...others] : others;
+			queueBytes -= slice.length;
+			res.write(slice);
+		}
+
+		if (endsAfterQueue && queueBytes === 0) {
+			endsAfterQueue = false;
+			res.end();
+		}
+	};
+
+	const enqueue = (chunk: Uint8Array): void => {
+		queue.push(chunk);
+		queueBytes += chunk.length;
+		flush();
+	};
+
+	res.on('drain', () => {
+		account.progress();
+		flush();
+		noteUnread();
+	});
+	account.onEnd(() => {
+		ended = true;
+		if (form === 'none') {
+			res.destroy();
+		} else {
+			// A reset, so that nothing that was sent looks whole.
+			res.socket?.resetAndDestroy();
+		}
 	});
 
 	const tellRefusal = (err: RefusalError) => {
@@ -71,6 +136,12 @@
 			}
 
 			case 'events': {
+				for (const chunk of queue) {
+					res.write(chunk);
+				}
+
+				queue = [];
+				queueBytes = 0;
 				res.end(errorEvent(err, requestId));
 				break;
 			}
@@ -100,12 +171,34 @@
 				res.writeHead(status, {...headers, ...answerForm.headers});
 			}
 		},
-		write: chunk => ended || res.write(chunk),
-		end(chunk) {
-			if (!ended) {
-				ended = true;
+		write(chunk) {
+			if (ended) {
+				return true;
+			}
+
+			if (queueBytes === 0 && chunk.length <= SLICE_BYTES) {
+				res.write(chunk);
+			} else {
+				enqueue(Buffer.from(chunk));
+			}
+
+			noteUnread();
+			return !isUnread;
+		},
+		end(chunk = '') {
+			if (ended) {
+				return;
+			}
+
+			ended = true;
+			if (queueBytes === 0 && chunk.length <= SLICE_BYTES) {
 				res.end(chunk);
+			} else {
+				endsAfterQueue = true;
+				enqueue(Buffer.from(chunk));
 			}
+
+			noteUnread();
 		},
 		refuse(err) {
 			if (!ended) {
@@ -115,7 +208,11 @@
 			}
 		},
 		onDrain(listener) {
-			res.on('drain', listener);
+			res.on('drain', () => {
+				if (!isUnread) {
+					listener();
+				}
+			});
 		},
 		hasLeft: () => res.destroyed || res.req.socket.readableEnded || res.req.socket.destroyed,
 		onLeft(listener) {
@@ -130,5 +227,6 @@
 				}
 			});
 		},
+		account,
 	};
 };
--- a/src/runtime/entry/read-body.ts
+++ b/src/runtime/entry/read-body.ts
@@ -3,10 +3,17 @@
 import {type IncomingMessage} from 'node:http';
 import {RefusalError} from '../../core/errors/refusal-error.js';
 import {BadRequest, BodyTooLarge, ReadTimeout} from '../../core/errors/refusals-data.js';
+import {type HeldAccount} from '../memory/held-accounts.js';
 import {type EntryLimits} from './types.js';
 
+export type HeldBody = {
+	readonly account: HeldAccount;
+	/** The refusal of a body for which there is no memory. */
+	readonly refusal: () => RefusalError;
+};
+
 /** Resolves to the whole body, or rejects with a typed refusal. */
-export const readBody = async (req: IncomingMessage, limits: EntryLimits): Promise<Uint8Array> => new Promise((resolve, reject) => {
+export const readBody = async (req: IncomingMessage, limits: EntryLimits, held?: HeldBody): Promise<Uint8Array> => new Promise((resolve, reject) => {
 	const chunks: Uint8Array[] = [];
 	let size = 0;
 	let lastRead: NodeJS.Immediate | undefined;
@@ -43,7 +50,13 @@
 			return;
 		}
 
+		if (held?.account.isFull()) {
+			fail(held.refusal());
+			return;
+		}
+
 		chunks.push(chunk);
+		held?.account.set('body', size);
 	});
 	req.once('end', () => {
 		settle(() => {
--- a/src/runtime/entry/target-pools.ts
+++ b/src/runtime/entry/target-pools.ts
@@ -7,6 +7,8 @@
 /** Connections to one target, beyond which calls wait. Slots keep the use far below. */
 const MAX_CONNECTIONS = 512;
 const CONNECT_TIMEOUT_MS = 1000;
+/** Bytes that a connection takes in while its call is paused, and up to one read of 64 KB more; a paused call stands for a caller that does not read. */
+const PAUSED_BYTES = 16_384;
 /** Idle connections are closed before a target's usual five seconds are over, or before the time that it names itself. */
 const KEEP_ALIVE_MS = 3000;
 /** The longest named time that is believed: idle connections hold descriptors here and places at the target. */
@@ -49,7 +51,9 @@
 };
 
 const createConnector = (timeout: number): buildConnector.connector => {
-	const connect = buildConnector({timeout});
+	// Passed on to `net.connect`, which the types of the HTTP client don't say.
+	const connectorOptions: buildConnector.BuildOptions & {readonly highWaterMark: number} = {timeout, highWaterMark: PAUSED_BYTES};
+	const connect = buildConnector(connectorOptions);
 	return (options, callback) => {
 		connect(options, (...result) => {
 			const [, socket] = result;
--- /dev/null
+++ b/src/runtime/memory/held-accounts.ts
@@ -0,0 +1,138 @@
+/** Keeps the accounts of what requests hold, and ends those that the decision names. */
+import {type Clock} from '../../core/clock.js';
+import {HeldMemory} from '../../core/memory/held-memory.js';
+import {type HeldPart, type MemoryBounds, type MemoryMessage} from '../../core/memory/types.js';
+import {type Log} from '../observe/log.js';
+import {type Metrics} from '../observe/metrics.js';
+
+/** Milliseconds between looks while something is held; a stalled caller is ended within a second and this. */
+const LOOK_MS = 250;
+/** Milliseconds between log lines while requests are refused. */
+const LINE_MS = 1000;
+
+/** What one request holds. */
+export type HeldAccount = {
+	readonly set: (part: HeldPart, bytes: number) => void;
+	/** The caller has read or sent something. */
+	readonly progress: () => void;
+	/** Whether nothing may be collected that can be passed on. */
+	readonly isTight: () => boolean;
+	/** Whether a body that still arrives is to be refused. */
+	readonly isFull: () => boolean;
+	/** Called once when the request is ended to free what it holds. */
+	readonly onEnd: (listener: () => void) => void;
+	readonly close: () => void;
+};
+
+export type HeldAccounts = {
+	readonly open: (requestId: string) => HeldAccount;
+	/** Whether new requests are refused. */
+	readonly isTight: () => boolean;
+	/** Bytes held by what they are held for. */
+	readonly totals: () => Readonly<Record<HeldPart, number>>;
+	readonly stop: () => void;
+};
+
+/** For interfaces whose memory is not accounted for. */
+export const noAccount: HeldAccount = {
+	set: () => undefined,
+	progress: () => undefined,
+	isTight: () => false,
+	isFull: () => false,
+	onEnd: () => undefined,
+	close: () => undefined,
+};
+
+export type HeldAccountsOptions = {
+	readonly bounds: MemoryBounds;
+	readonly clock: Clock;
+	readonly log: Log;
+	readonly metrics: Metrics;
+};
+
+type Open = {readonly requestId: string; onEnd: () => void};
+
+export const createHeldAccounts = ({bounds, clock, log, metrics}: HeldAccountsOptions): HeldAccounts => {
+	const memory = new HeldMemory(bounds);
+	const accounts = new Map<number, Open>();
+	let opened = 0;
+	let lineMs = -Infinity;
+	let timer: NodeJS.Timeout | undefined;
+
+	const handle = (message: MemoryMessage): void => {
+		for (const {id, reason, heldBytes, idleMs, totalBytes} of memory.handle(message, clock.nowMs())) {
+			const account = accounts.get(id);
+			metrics.memoryEnded.inc({reason});
+			log.warn('response ended to free memory', {
+				request_id: account?.requestId,
+				reason,
+				held_bytes: heldBytes,
+				idle_ms: Math.round(idleMs),
+				total_bytes: totalBytes,
+				bound_bytes: reason === 'bound' ? bounds.shedBytes : bounds.refuseBytes,
+			});
+			account?.onEnd();
+		}
+	};
+
+	const writeLine = (): void => {
+		const nowMs = clock.nowMs();
+		if (memory.isTight && nowMs - lineMs >= LINE_MS) {
+			lineMs = nowMs;
+			const {body, collected, unread} = memory.totals;
+			log.warn('memory is held for slow callers', {
+				unread_bytes: unread, body_bytes: body, collected_bytes: collected, bound_bytes: bounds.refuseBytes, requests: accounts.size,
+			});
+		}
+	};
+
+	const look = (): void => {
+		timer = undefined;
+		handle({kind: 'tick'});
+		writeLine();
+		arm();
+	};
+
+	/** No wake-ups while little is held. */
+	function arm(): void {
+		if (timer === undefined && memory.isTight) {
+			timer = setTimeout(look, LOOK_MS);
+		}
+	}
+
+	return {
+		open(requestId) {
+			opened++;
+			const id = opened;
+			const account: Open = {requestId, onEnd: () => undefined};
+			accounts.set(id, account);
+			return {
+				set(part, bytes) {
+					if (accounts.has(id)) {
+						handle({
+							kind: 'held', id, part, bytes,
+						});
+						arm();
+					}
+				},
+				progress() {
+					handle({kind: 'progress', id});
+				},
+				isTight: () => memory.isTight,
+				isFull: () => memory.isFull,
+				onEnd(listener) {
+					account.onEnd = listener;
+				},
+				close() {
+					accounts.delete(id);
+					handle({kind: 'gone', id});
+				},
+			};
+		},
+		isTight: () => memory.isTight,
+		totals: () => memory.totals,
+		stop() {
+			clearTimeout(timer);
+		},
+	};
+};
--- a/src/runtime/observe/metrics.ts
+++ b/src/runtime/observe/metrics.ts
@@ -30,6 +30,9 @@
 		cancels: new Counter({
 			name: 'jackdawwood_cancels_total', help: 'Runs cancelled at the target.', labelNames: ['result'] as const, registers,
 		}),
+		memoryEnded: new Counter({
+			name: 'jackdawwood_memory_ended_total', help: 'Responses that were ended to free memory.', labelNames: ['reason'] as const, registers,
+		}),
 		uncaughtErrors: new Counter({
 			name: 'jackdawwood_uncaught_errors_total', help: 'Errors that nothing caught.', registers,
 		}),
@@ -78,6 +81,9 @@
 		openRequests: new Gauge({
 			name: 'jackdawwood_open_requests', help: 'Requests that callers wait for.', registers,
 		}),
+		heldBytes: new Gauge({
+			name: 'jackdawwood_held_bytes', help: 'Bytes held for callers and targets.', labelNames: ['part'] as const, registers,
+		}),
 		shedShare: new Gauge({
 			name: 'jackdawwood_shed_share', help: 'Share of requests that is refused because this VM is overloaded.', registers,
 		}),
--- a/src/runtime/routing/relay-call.ts
+++ b/src/runtime/routing/relay-call.ts
@@ -20,6 +20,8 @@
 
 /** Plain answers up to this many bytes are checked whole before the caller gets any. */
 const MAX_COLLECTED_BYTES = 262_144;
+/** The same while memory is short: a failure in the middle of a longer answer reaches its caller. */
+const MAX_TIGHT_COLLECTED_BYTES = 16_384;
 /** Milliseconds without a byte in the middle of a stream after which another target goes on with it, where that is allowed. */
 const STREAM_STALL_MS = 1800;
 
@@ -182,6 +184,8 @@
 
 	#fail(reason: FaultReason): void {
 		this.#call?.close();
+		this.#chunks = [];
+		this.#progress.answer.account.set('collected', 0);
 		this.#finish({kind: 'failed', reason, cost: 0});
 	}
 
@@ -273,7 +277,12 @@
 
 	#relay(chunk: Uint8Array): void {
 		const {events, answer} = this.#progress;
+		const hadRest = events.hasRest();
 		const whole = events.feed(chunk);
+		if (hadRest || events.hasRest()) {
+			answer.account.set('collected', events.restBytes());
+		}
+
 		// Only whole events are progress: single bytes may come for ever.
 		if (whole ?? !this.#stallBegan) {
 			this.#stallBegan = true;
@@ -316,6 +325,10 @@
 
 	#collect(chunk: Uint8Array): void {
 		const {answer, hasBegun} = this.#progress;
+		if (this.#cancelled) {
+			return;
+		}
+
 		if (hasBegun) {
 			this.#size += chunk.length;
 			if (this.#size > MAX_PASSED_BYTES) {
@@ -329,11 +342,23 @@
 
 		this.#chunks.push(chunk);
 		this.#size += chunk.length;
-		if (this.#size > MAX_COLLECTED_BYTES) {
-			this.#begin();
-			answer.write(Buffer.concat(this.#chunks));
-			this.#chunks = [];
+		if (this.#size <= (answer.account.isTight() ? MAX_TIGHT_COLLECTED_BYTES : MAX_COLLECTED_BYTES)) {
+			answer.account.set('collected', this.#size);
+			return;
 		}
+
+		this.#begin();
+		if (!answer.write(this.#takeCollected())) {
+			this.#call?.pause();
+		}
+	}
+
+	/** The bytes collected so far, which are the caller's to hold from now on. */
+	#takeCollected(): Uint8Array {
+		const body = Buffer.concat(this.#chunks);
+		this.#chunks = [];
+		this.#progress.answer.account.set('collected', 0);
+		return body;
 	}
 
 	#onEnd(): void {
@@ -372,7 +397,7 @@
 		const {answer} = this.#progress;
 		const head = this.#head;
 		if (head) {
-			const body = Buffer.concat(this.#chunks);
+			const body = this.#takeCollected();
 			const headers = this.#options.wire.callerHeaders(head.headers);
 			const form = formOf(head);
 			const hasLength = form === 'bytes' && !hasNoBody(head);
--- a/src/runtime/routing/serve-request.ts
+++ b/src/runtime/routing/serve-request.ts
@@ -5,6 +5,8 @@
 import {OVERLOADED_RETRY_MS, type LoadShed} from '../../core/admission/load-shed.js';
 import {RefusalError} from '../../core/errors/refusal-error.js';
 import {TooManyRequests, VmOverloaded} from '../../core/errors/refusals-data.js';
+import {memoryRefusal} from '../../core/memory/memory-refusal.js';
+import {type HeldAccounts} from '../memory/held-accounts.js';
 import {asRefusal} from '../entry/as-refusal.js';
 import {type AttemptContext} from '../entry/attempt-context.js';
 import {runAttempt} from '../entry/attempt-task.js';
@@ -23,6 +25,7 @@
 	readonly attempts: AttemptContext;
 	readonly random: () => number;
 	readonly shed: LoadShed;
+	readonly held: HeldAccounts;
 	/** Whether what callers did may not have been read yet. */
 	readonly isBehind: () => boolean;
 };
@@ -64,20 +67,29 @@
 
 /** Serves one request; never rejects. */
 export const serveRequest = async (req: IncomingMessage, res: ServerResponse, ctx: ServeContext): Promise<void> => {
-	const {view, wire, attempts, random, shed, isBehind} = ctx;
+	const {view, wire, attempts, random, shed, held, isBehind} = ctx;
 	const arrivedMs = attempts.clock.nowMs();
 	const head = wire.readHead(req);
+	const account = held.open(head.requestId);
+	let isClosed = false;
+	res.once('close', () => {
+		isClosed = true;
+	});
 	const answer = createCallerAnswer(res, head.requestId, {
 		headers: {},
 		writeRefusal(response, err) {
 			wire.writeRefusal(response, err, head.requestId);
 		},
-	});
+	}, account);
 	attempts.metrics.openRequests.inc();
 	try {
 		const routed = routeRequest(view, head, pathOf(req));
 		// The body first: a connection that is closed with unread bytes is reset, and the refusal lost.
-		const body = await readBody(req, attempts.limits);
+		const body = await readBody(req, attempts.limits, {account, refusal: () => memoryRefusal(random, head.waitsMs)});
+		if (held.isTight()) {
+			throw memoryRefusal(random, head.waitsMs);
+		}
+
 		if (!shed.takes(routed.team ?? '', arrivedMs)) {
 			res.setHeader('connection', 'close');
 			throw new RefusalError(VmOverloaded, {}, {retryAfterMs: OVERLOADED_RETRY_MS});
@@ -99,6 +111,14 @@
 	} catch (error) {
 		refuse({req, answer, head}, error, ctx);
 	} finally {
+		account.set('body', 0);
+		account.set('collected', 0);
+		if (isClosed) {
+			account.close();
+		} else {
+			res.once('close', account.close);
+		}
+
 		attempts.metrics.openRequests.dec();
 	}
 };
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -4,6 +4,7 @@
 import polka from 'polka';
 import {createCostEstimator} from '../../core/admission/cost-estimator.js';
 import {createLoadShed} from '../../core/admission/load-shed.js';
+import {memoryBounds} from '../../core/memory/held-memory.js';
 import {createTeamGate} from '../../core/admission/team-gate.js';
 import {type Clock} from '../../core/clock.js';
 import {createRetryShare} from '../../core/placement/retry-share.js';
@@ -13,6 +14,7 @@
 import {createServerStop} from '../entry/server-stop.js';
 import {createTargetPools} from '../entry/target-pools.js';
 import {type Log} from '../observe/log.js';
+import {createHeldAccounts, type HeldAccounts} from '../memory/held-accounts.js';
 import {createYoungCollector} from '../memory/young-collector.js';
 import {startLoopDelay} from '../observe/loop-delay.js';
 import {type Metrics} from '../observe/metrics.js';
@@ -104,9 +106,9 @@
 	return address;
 };
 
-type Status = {readonly isReady: () => boolean; readonly loads: FleetLoads};
+type Status = {readonly isReady: () => boolean; readonly loads: FleetLoads; readonly held: HeldAccounts};
 
-const startStatus = async ({ready, metricsAddress, metrics, source}: RoutingOptions, {isReady, loads}: Status): Promise<readonly http.Server[]> => {
+const startStatus = async ({ready, metricsAddress, metrics, source}: RoutingOptions, {isReady, loads, held}: Status): Promise<readonly http.Server[]> => {
 	const readyServer = http.createServer();
 	const metricsServer = http.createServer();
 	readyServer.on('request', polka({server: readyServer})
@@ -117,6 +119,10 @@
 	metricsServer.on('request', polka({server: metricsServer})
 		.get('/metrics', async (_req, res) => {
 			metrics.vmsHeard.set(loads.heard);
+			for (const [part, bytes] of Object.entries(held.totals())) {
+				metrics.heldBytes.set({part}, bytes);
+			}
+
 			metrics.fleetNewsAge.set(source.newsAgeMs() / 1000);
 			res.writeHead(200, {'content-type': metrics.registry.contentType}).end(await metrics.registry.metrics());
 		})
@@ -132,6 +138,9 @@
 	} = options;
 	const view = createFleetView(log);
 	const loads = new FleetLoads();
+	const held = createHeldAccounts({
+		bounds: memoryBounds(limits.memoryMb), clock, log, metrics,
+	});
 	const peers: {exchange?: LoadExchange} = {};
 	const shed = createLoadShed({behindMs: limits.behindMs, random});
 	const scheduler = createPlacementScheduler({
@@ -185,7 +194,7 @@
 		}),
 	};
 	const ctx: ServeContext = {
-		view, wire: callerWire, attempts, random, shed, isBehind: loopDelay.isBehind,
+		view, wire: callerWire, attempts, random, shed, held, isBehind: loopDelay.isBehind,
 	};
 	const servers = Array.from({length: canSharePort() ? CALLERS_LISTENERS : 1}, () => createCallersServer(options));
 	const serverStops = servers.map(server => createServerStop(server, limits.readTimeoutMs));
@@ -198,7 +207,7 @@
 	}
 
 	const isReady = () => !isLeaving && view.isComplete() && !shed.isOverloaded();
-	const statusServers = await startStatus(options, {isReady, loads});
+	const statusServers = await startStatus(options, {isReady, loads, held});
 	const address = await listenForCallers(servers, options.callers);
 	log.info('started', {vm, data_centre: dataCentre, callers: address});
 	source.start(news => {
@@ -233,6 +242,7 @@
 		await source.stop();
 		scheduler.stop();
 		loopDelay.stop();
+		held.stop();
 		exchange.close();
 		await pools.close();
 		for (const status of statusServers) {
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -85,4 +85,6 @@
 export type RoutingLimits = EntryLimits & {
 	/** Milliseconds by which timers come late above which the VM is behind its work. */
 	readonly behindMs: number;
+	/** Memory of this VM in MB; unknown if absent. */
+	readonly memoryMb?: number | undefined;
 };
--- a/test/memory/_big-target.ts
+++ b/test/memory/_big-target.ts
@@ -1,7 +1,6 @@
 /** A plain target whose answers and reading of bodies are as slow or large as the test says. */
 import {Buffer} from 'node:buffer';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
-import {once} from 'node:events';
 import {type ExecutionContext} from 'ava';
 import {listen} from '../../src/runtime/entry/listen.js';
 
@@ -17,17 +16,22 @@
 });
 
 /** Writes an answer of `bytes` as fast as it is read. */
-const writeBytes = async (res: ServerResponse, bytes: number): Promise<void> => {
+const writeBytes = (res: ServerResponse, bytes: number): void => {
 	let left = bytes;
-	while (left > 0 && !res.destroyed) {
-		const part = PART.subarray(0, Math.min(left, PART.length));
-		left -= part.length;
-		if (!res.write(part)) {
-			await Promise.race([once(res, 'drain'), once(res, 'close')]); // eslint-disable-line no-await-in-loop
+	const writeMore = (): void => {
+		while (left > 0 && !res.writableNeedDrain && !res.destroyed) {
+			const part = PART.subarray(0, Math.min(left, PART.length));
+			left -= part.length;
+			res.write(part);
 		}
-	}
 
-	res.end();
+		if (left === 0) {
+			res.end();
+		}
+	};
+
+	res.on('drain', writeMore);
+	writeMore();
 };
 
 /**
@@ -45,7 +49,7 @@
 		req.resume();
 		const bytes = Number(req.url?.split('/').at(-1));
 		res.writeHead(200, {...answerHead(req), 'content-length': String(bytes)});
-		void writeBytes(res, bytes);
+		writeBytes(res, bytes);
 	});
 	const address = await listen(server, {host: '127.0.0.1', port: 0});
 	t.teardown(() => {
