Bound the bodies that are held for slow targets

A body of known length was gathered in parts and then joined, which took twice its size.

Change: a request with a body over 64 KB is refused (VmOutOfMemory) as soon as the bodies held with it would pass the first bound, by its stated length before a byte is kept; requests with less go on up to the second bound. A body of known length is gathered in place. Bytes read from callers, those of refused requests included, count towards the collection of young garbage.

--- a/src/core/memory/held-memory.ts
+++ b/src/core/memory/held-memory.ts
@@ -9,7 +9,8 @@
  * Above the first bound new requests are refused, and callers that have read nothing for a
  * second are ended, so that they do not shut out those that read. Above the second bound the
  * slowest and largest are ended at once. Small ones that make progress are never ended, nor are
- * requests whose body was sent to a target: their number is bounded by the refusals.
+ * requests whose body was sent to a target. Bodies alone refuse only requests with large
+ * bodies, so that a few large ones at a slow target do not shut out all others.
  */
 import {
 	type HeldPart, type MemoryBounds, type MemoryEffect, type MemoryMessage,
@@ -71,16 +72,24 @@
 		return this.#totals;
 	}
 
-	/** Whether new requests are refused, and nothing is collected that can be passed on. */
+	/** Whether memory is short: stalled callers are ended, and nothing is collected that can be passed on. */
 	get isTight(): boolean {
 		return this.totalBytes > this.#bounds.refuseBytes;
 	}
 
-	/** Whether a body that is still arriving is refused. */
+	/** Whether the slowest and largest are ended at once. */
 	get isFull(): boolean {
 		return this.totalBytes > this.#bounds.shedBytes;
 	}
 
+	/** Whether a request whose body has, or will have, so many bytes may go on, `moreBytes` of which are still to come. */
+	mayHold(bodyBytes: number, moreBytes = 0): boolean {
+		const {refuseBytes, shedBytes} = this.#bounds;
+		const {collected, unread} = this.#totals;
+		const total = this.totalBytes + moreBytes;
+		return total <= refuseBytes || (bodyBytes <= SMALL_BYTES && total <= shedBytes && collected + unread <= refuseBytes);
+	}
+
 	handle(message: MemoryMessage, nowMs: number): readonly MemoryEffect[] {
 		switch (message.kind) {
 			case 'held': {
--- a/src/runtime/entry/read-body.ts
+++ b/src/runtime/entry/read-body.ts
@@ -15,6 +15,8 @@
 /** Resolves to the whole body, or rejects with a typed refusal. */
 export const readBody = async (req: IncomingMessage, limits: EntryLimits, held?: HeldBody): Promise<Uint8Array> => new Promise((resolve, reject) => {
 	const chunks: Uint8Array[] = [];
+	/** A body of known length is gathered in place, so that its parts are garbage at once. */
+	let whole: Uint8Array | undefined;
 	let size = 0;
 	let lastRead: NodeJS.Immediate | undefined;
 	const settle = (act: () => void) => {
@@ -43,6 +45,12 @@
 		return;
 	}
 
+	const declared = Number(req.headers['content-length'] ?? 0);
+	if (held && !held.account.mayHold(declared, declared)) {
+		fail(held.refusal());
+		return;
+	}
+
 	req.on('data', (chunk: Uint8Array) => {
 		size += chunk.length;
 		if (size > limits.bodyBytes) {
@@ -50,17 +58,25 @@
 			return;
 		}
 
-		if (held?.account.isFull()) {
-			fail(held.refusal());
-			return;
+		if (declared === 0 || chunk.length === declared) {
+			chunks.push(chunk);
+		} else {
+			whole ??= Buffer.allocUnsafeSlow(declared);
+			whole.set(chunk, size - chunk.length);
 		}
 
-		chunks.push(chunk);
 		held?.account.set('body', size);
+		held?.account.read(chunk.length);
+		if (held && !held.account.mayHold(size)) {
+			chunks.length = 0;
+			whole = undefined;
+			held.account.set('body', 0);
+			fail(held.refusal());
+		}
 	});
 	req.once('end', () => {
 		settle(() => {
-			resolve(chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks));
+			resolve(whole ?? (chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks)));
 		});
 	});
 	req.once('error', () => {
--- a/src/runtime/memory/held-accounts.ts
+++ b/src/runtime/memory/held-accounts.ts
@@ -13,12 +13,14 @@
 /** What one request holds. */
 export type HeldAccount = {
 	readonly set: (part: HeldPart, bytes: number) => void;
-	/** The caller has read or sent something. */
+	/** The caller has read something. */
 	readonly progress: () => void;
+	/** The caller has sent something. */
+	readonly read: (bytes: number) => void;
 	/** Whether nothing may be collected that can be passed on. */
 	readonly isTight: () => boolean;
-	/** Whether a body that still arrives is to be refused. */
-	readonly isFull: () => boolean;
+	/** Whether the request may go on with a body of so many bytes, of which `moreBytes` are still to come. */
+	readonly mayHold: (bodyBytes: number, moreBytes?: number) => boolean;
 	/** Called once when the request is ended to free what it holds. */
 	readonly onEnd: (listener: () => void) => void;
 	readonly close: () => void;
@@ -26,8 +28,6 @@
 
 export type HeldAccounts = {
 	readonly open: (requestId: string) => HeldAccount;
-	/** Whether new requests are refused. */
-	readonly isTight: () => boolean;
 	/** Bytes held by what they are held for. */
 	readonly totals: () => Readonly<Record<HeldPart, number>>;
 	readonly stop: () => void;
@@ -37,8 +37,9 @@
 export const noAccount: HeldAccount = {
 	set: () => undefined,
 	progress: () => undefined,
+	read: () => undefined,
 	isTight: () => false,
-	isFull: () => false,
+	mayHold: () => true,
 	onEnd: () => undefined,
 	close: () => undefined,
 };
@@ -48,11 +49,13 @@
 	readonly clock: Clock;
 	readonly log: Log;
 	readonly metrics: Metrics;
+	/** Told of the bytes that were read from callers. */
+	readonly onRead: (bytes: number) => void;
 };
 
 type Open = {readonly requestId: string; onEnd: () => void};
 
-export const createHeldAccounts = ({bounds, clock, log, metrics}: HeldAccountsOptions): HeldAccounts => {
+export const createHeldAccounts = ({bounds, clock, log, metrics, onRead}: HeldAccountsOptions): HeldAccounts => {
 	const memory = new HeldMemory(bounds);
 	const accounts = new Map<number, Open>();
 	let opened = 0;
@@ -80,7 +83,7 @@
 		if (memory.isTight && nowMs - lineMs >= LINE_MS) {
 			lineMs = nowMs;
 			const {body, collected, unread} = memory.totals;
-			log.warn('memory is held for slow callers', {
+			log.warn('memory is short', {
 				unread_bytes: unread, body_bytes: body, collected_bytes: collected, bound_bytes: bounds.refuseBytes, requests: accounts.size,
 			});
 		}
@@ -118,8 +121,12 @@
 				progress() {
 					handle({kind: 'progress', id});
 				},
+				read(bytes) {
+					handle({kind: 'progress', id});
+					onRead(bytes);
+				},
 				isTight: () => memory.isTight,
-				isFull: () => memory.isFull,
+				mayHold: (bodyBytes, moreBytes) => memory.mayHold(bodyBytes, moreBytes),
 				onEnd(listener) {
 					account.onEnd = listener;
 				},
@@ -129,7 +136,6 @@
 				},
 			};
 		},
-		isTight: () => memory.isTight,
 		totals: () => memory.totals,
 		stop() {
 			clearTimeout(timer);
--- a/src/runtime/routing/serve-request.ts
+++ b/src/runtime/routing/serve-request.ts
@@ -41,6 +41,9 @@
 	log.info('request refused', {
 		request_id: head.requestId, reason: refusal.data.name, fault: refusal.message, host: head.host, path: pathOf(req),
 	});
+	req.on('data', ({length}: Uint8Array) => {
+		answer.account.read(length);
+	});
 	req.resume();
 	answer.refuse(refusal);
 };
@@ -86,7 +89,7 @@
 		const routed = routeRequest(view, head, pathOf(req));
 		// The body first: a connection that is closed with unread bytes is reset, and the refusal lost.
 		const body = await readBody(req, attempts.limits, {account, refusal: () => memoryRefusal(random, head.waitsMs)});
-		if (held.isTight()) {
+		if (!account.mayHold(body.length)) {
 			throw memoryRefusal(random, head.waitsMs);
 		}
 
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -138,8 +138,9 @@
 	} = options;
 	const view = createFleetView(log);
 	const loads = new FleetLoads();
+	const onRead = createYoungCollector();
 	const held = createHeldAccounts({
-		bounds: memoryBounds(limits.memoryMb), clock, log, metrics,
+		bounds: memoryBounds(limits.memoryMb), clock, log, metrics, onRead,
 	});
 	const peers: {exchange?: LoadExchange} = {};
 	const shed = createLoadShed({behindMs: limits.behindMs, random});
@@ -190,7 +191,7 @@
 		retryBudget: createRetryShare(bounds, () => vms().length),
 		estimator: createCostEstimator(),
 		createCalls: createRelayCalls({
-			wire: targetWire, pool: address => pools.get(address), clock, log, observe: scheduler.observe, onRead: createYoungCollector(),
+			wire: targetWire, pool: address => pools.get(address), clock, log, observe: scheduler.observe, onRead,
 		}),
 	};
 	const ctx: ServeContext = {
--- a/test/memory/held-memory.test.ts
+++ b/test/memory/held-memory.test.ts
@@ -78,6 +78,19 @@
 	t.is(memory.totalBytes, 0);
 });
 
+test('large bodies at slow targets refuse other large bodies, and no request without one', t => {
+	const {memory, hold} = createMemory();
+	hold(1, 950_000, 0, 'body');
+	t.true(memory.mayHold(40_000, 40_000));
+	t.false(memory.mayHold(100_000, 100_000), 'would pass the first bound');
+	hold(2, 60_000, 0, 'body');
+	t.true(memory.mayHold(0));
+	t.true(memory.mayHold(60_000));
+	memory.handle({kind: 'gone', id: 1}, 0);
+	hold(3, 1_100_000, 0, 'unread');
+	t.false(memory.mayHold(0), 'unread answers do');
+});
+
 test('callers that are refused together come back at different times, within a third of the time that they wait', t => {
 	t.deepEqual([0, 0.5, 1].map(draw => memoryRefusal(() => draw).retryAfterMs), [100, 350, 600]);
 	t.is(memoryRefusal(() => 1, 900).retryAfterMs, 300);
