--- a/src/runtime/entry/read-body.ts
+++ b/src/runtime/entry/read-body.ts
@@ -3,11 +3,20 @@
 import {type IncomingMessage} from 'node:http';
 import {RefusalError} from '../../core/errors/refusal-error.js';
 import {BadRequest, BodyTooLarge, ReadTimeout} from '../../core/errors/refusals-data.js';
+import {type HeldAccount} from '../memory/held-accounts.js';
 import {type EntryLimits} from './types.js';
 
+export type HeldBody = {
+	readonly account: HeldAccount;
+	/** The refusal of a body for which there is no memory. */
+	readonly refusal: () => RefusalError;
+};
+
 /** Resolves to the whole body, or rejects with a typed refusal. */
-export const readBody = async (req: IncomingMessage, limits: EntryLimits): Promise<Uint8Array> => new Promise((resolve, reject) => {
+export const readBody = async (req: IncomingMessage, limits: EntryLimits, held?: HeldBody): Promise<Uint8Array> => new Promise((resolve, reject) => {
 	const chunks: Uint8Array[] = [];
+	/** A body of known length is gathered in place, so that its parts are garbage at once. */
+	let whole: Uint8Array | undefined;
 	let size = 0;
 	let lastRead: NodeJS.Immediate | undefined;
 	const settle = (act: () => void) => {
@@ -36,6 +45,12 @@
 		return;
 	}
 
+	const declared = Number(req.headers['content-length'] ?? 0);
+	if (held && !held.account.mayHold(declared, declared)) {
+		fail(held.refusal());
+		return;
+	}
+
 	req.on('data', (chunk: Uint8Array) => {
 		size += chunk.length;
 		if (size > limits.bodyBytes) {
@@ -43,11 +58,25 @@
 			return;
 		}
 
-		chunks.push(chunk);
+		if (declared === 0 || chunk.length === declared) {
+			chunks.push(chunk);
+		} else {
+			whole ??= Buffer.allocUnsafeSlow(declared);
+			whole.set(chunk, size - chunk.length);
+		}
+
+		held?.account.set('body', size);
+		held?.account.read(chunk.length);
+		if (held && !held.account.mayHold(size)) {
+			chunks.length = 0;
+			whole = undefined;
+			held.account.set('body', 0);
+			fail(held.refusal());
+		}
 	});
 	req.once('end', () => {
 		settle(() => {
-			resolve(chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks));
+			resolve(whole ?? (chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks)));
 		});
 	});
 	req.once('error', () => {
--- a/src/runtime/routing/serve-request.ts
+++ b/src/runtime/routing/serve-request.ts
@@ -8,6 +8,8 @@
 import {retryDelayMs} from '../../core/admission/retry-delay.js';
 import {RefusalError} from '../../core/errors/refusal-error.js';
 import {TooManyRequests, VmOverloaded} from '../../core/errors/refusals-data.js';
+import {memoryRefusal} from '../../core/memory/memory-refusal.js';
+import {type HeldAccounts} from '../memory/held-accounts.js';
 import {asRefusal} from '../entry/as-refusal.js';
 import {type AttemptContext} from '../entry/attempt-context.js';
 import {runAttempt} from '../entry/attempt-task.js';
@@ -32,6 +34,7 @@
 	readonly shed: LoadShed;
 	/** Refusals that are logged together. */
 	readonly refusals: RefusalSummary;
+	readonly held: HeldAccounts;
 	/** Whether what callers did may not have been read yet. */
 	readonly isBehind: () => boolean;
 };
@@ -47,6 +50,9 @@
 	log.info('request refused', {
 		request_id: head.requestId, reason: refusal.data.name, fault: refusal.message, host: head.host, path: pathOf(req),
 	});
+	req.on('data', ({length}: Uint8Array) => {
+		answer.account.read(length);
+	});
 	req.resume();
 	answer.refuse(refusal);
 };
@@ -97,7 +103,7 @@
 
 /** Serves one request; never rejects. */
 export const serveRequest = async (req: IncomingMessage, res: ServerResponse, ctx: ServeContext): Promise<void> => {
-	const {view, wire, attempts, random, ingress, shed, isBehind} = ctx;
+	const {view, wire, attempts, random, ingress, shed, held, isBehind} = ctx;
 	if (req.socket.writableEnded) {
 		// An earlier request of the connection was refused, and nothing after it is served.
 		return;
@@ -111,16 +117,25 @@
 		return;
 	}
 
+	const account = held.open(head.requestId);
+	let isClosed = false;
+	res.once('close', () => {
+		isClosed = true;
+	});
 	const answer = createCallerAnswer(res, head.requestId, {
 		headers: {},
 		writeRefusal(response, err) {
 			wire.writeRefusal(response, err, head.requestId);
 		},
-	});
+	}, account);
 	attempts.metrics.openRequests.inc();
 	try {
 		const routed = routeRequest(view, head, pathOf(req));
-		const body = await readBody(req, attempts.limits);
+		const body = await readBody(req, attempts.limits, {account, refusal: () => memoryRefusal(random, head.waitsMs)});
+		if (!account.mayHold(body.length)) {
+			throw memoryRefusal(random, head.waitsMs);
+		}
+
 		if (isBehind() || isFirstOf(req.socket)) {
 			await nextReads();
 		}
@@ -137,6 +152,14 @@
 	} catch (error) {
 		refuse({req, answer, head}, error, ctx);
 	} finally {
+		account.set('body', 0);
+		account.set('collected', 0);
+		if (isClosed) {
+			account.close();
+		} else {
+			res.once('close', account.close);
+		}
+
 		attempts.metrics.openRequests.dec();
 	}
 };
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -7,6 +7,7 @@
 import {createLoadShed} from '../../core/admission/load-shed.js';
 import {createOverloadWatch} from '../../core/admission/overload-watch.js';
 import {createRefusalSummary} from '../../core/admission/refusal-summary.js';
+import {memoryBounds} from '../../core/memory/held-memory.js';
 import {createTeamGate} from '../../core/admission/team-gate.js';
 import {type Clock} from '../../core/clock.js';
 import {createRetryShare} from '../../core/placement/retry-share.js';
@@ -18,6 +19,8 @@
 import {type Log} from '../observe/log.js';
 import {cpuMs, idleMs, startLoopDelay} from '../observe/loop-delay.js';
 import {createIngressReport} from '../observe/ingress-report.js';
+import {createHeldAccounts, type HeldAccounts} from '../memory/held-accounts.js';
+import {createYoungCollector} from '../memory/young-collector.js';
 import {type Metrics} from '../observe/metrics.js';
 import {FleetLoads} from '../../core/placement/fleet-loads.js';
 import {createFleetView} from './fleet-view.js';
@@ -109,9 +112,9 @@
 	return address;
 };
 
-type Status = {readonly isReady: () => boolean; readonly loads: FleetLoads};
+type Status = {readonly isReady: () => boolean; readonly loads: FleetLoads; readonly held: HeldAccounts};
 
-const startStatus = async ({ready, metricsAddress, metrics, source}: RoutingOptions, {isReady, loads}: Status): Promise<readonly http.Server[]> => {
+const startStatus = async ({ready, metricsAddress, metrics, source}: RoutingOptions, {isReady, loads, held}: Status): Promise<readonly http.Server[]> => {
 	const readyServer = http.createServer();
 	const metricsServer = http.createServer();
 	readyServer.on('request', polka({server: readyServer})
@@ -122,6 +125,10 @@
 	metricsServer.on('request', polka({server: metricsServer})
 		.get('/metrics', async (_req, res) => {
 			metrics.vmsHeard.set(loads.heard);
+			for (const [part, bytes] of Object.entries(held.totals())) {
+				metrics.heldBytes.set({part}, bytes);
+			}
+
 			metrics.fleetNewsAge.set(source.newsAgeMs() / 1000);
 			res.writeHead(200, {'content-type': metrics.registry.contentType}).end(await metrics.registry.metrics());
 		})
@@ -137,6 +144,10 @@
 	} = options;
 	const view = createFleetView(log);
 	const loads = new FleetLoads();
+	const onRead = createYoungCollector();
+	const held = createHeldAccounts({
+		bounds: memoryBounds(limits.memoryMb), clock, log, metrics, onRead,
+	});
 	const peers: {exchange?: LoadExchange} = {};
 	const shed = createLoadShed({behindMs: limits.behindMs, random});
 	let openRequests = 0;
@@ -199,11 +210,11 @@
 		retryBudget: createRetryShare(bounds, () => vms().length),
 		estimator: createCostEstimator(),
 		createCalls: createRelayCalls({
-			wire: targetWire, pool: address => pools.get(address), clock, log, observe: scheduler.observe, starts: scheduler.starts,
+			wire: targetWire, pool: address => pools.get(address), clock, log, observe: scheduler.observe, onRead, starts: scheduler.starts,
 		}),
 	};
 	const ctx: ServeContext = {
-		view, wire: callerWire, attempts, random, ingress, shed, refusals, isBehind: loopDelay.isBehind,
+		view, wire: callerWire, attempts, random, ingress, shed, refusals, held, isBehind: loopDelay.isBehind,
 	};
 	const servers = Array.from({length: canSharePort() ? CALLERS_LISTENERS : 1}, () => createCallersServer(options));
 	const serverStops = servers.map(server => createServerStop(server, limits.readTimeoutMs));
@@ -222,7 +233,7 @@
 	}
 
 	const isReady = () => !isLeaving && view.isComplete() && !overload.isOverloaded();
-	const statusServers = await startStatus(options, {isReady, loads});
+	const statusServers = await startStatus(options, {isReady, loads, held});
 	const address = await listenForCallers(servers, options.callers);
 	log.info('started', {vm, data_centre: dataCentre, callers: address});
 	source.start(news => {
@@ -258,6 +269,7 @@
 		await source.stop();
 		scheduler.stop();
 		loopDelay.stop();
+		held.stop();
 		exchange.close();
 		await pools.close();
 		for (const status of statusServers) {
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -93,4 +93,6 @@
 	readonly processorShare?: number | undefined;
 	/** How many times as fast as an ordinary one that processor is; 1 if absent. */
 	readonly processors?: number;
+	/** Memory of this VM in MB; unknown if absent. */
+	readonly memoryMb?: number | undefined;
 };
