--- a/src/core/admission/ingress.ts
+++ b/src/core/admission/ingress.ts
@@ -34,8 +34,8 @@
 const MIN_COUNT = 0.05;
 /** Milliseconds between computations of the even part while the backlog is large; a flood of 700 requests/s brings 14 in that time. */
 const LEVEL_MS = 20;
-/** Part of the budget that is always left for admitted requests, so that estimates can be corrected. */
-const MIN_ADMITTED_PART = 0.1;
+/** Part of the budget that is left for admitted requests, whatever refusals cost: teams within their even part are served before the others are answered. */
+const MIN_ADMITTED_PART = 0.4;
 /**
  * Milliseconds without an idle one after which requests are taken to wait in the kernel: the
  * process reads only as fast as it works, so the backlog alone would show them much later.
@@ -43,7 +43,9 @@
 const SATURATED_MS = 200;
 /** Milliseconds of idle time that count; a turn of the loop that finds work takes less. */
 const MIN_IDLE_MS = 0.5;
-/** Milliseconds for which refusing alone has to take the whole budget before the VM counts as overloaded. */
+/** Part of the budget that is kept at most for requests that are open. */
+const MAX_RESERVE_PART = 0.6;
+/** Milliseconds without an idle one, although requests are refused, after which the VM counts as overloaded. */
 const OVERLOADED_MS = 2000;
 
 export type IngressOptions = {
@@ -70,11 +72,13 @@
 };
 
 export type Ingress = {
+	/** Whether the VM's part of a processor is known. */
+	readonly hasBudget: boolean;
 	/** Counts a request; whether it is admitted. */
 	readonly admits: (team: string, nowMs: number) => boolean;
 	/** To be called several times a second, also while no requests arrive. */
 	readonly tick: (nowMs: number) => void;
-	/** Whether refusing alone takes the whole budget, and has done so for some time. */
+	/** Whether the VM cannot catch up by refusing requests. */
 	readonly isOverloaded: () => boolean;
 	/** Part of the last requests that was refused, from 0 to 1. */
 	readonly refusedPart: () => number;
@@ -139,9 +143,6 @@
 	#refused = 0;
 	#admitted = 0;
 	#refusedPart = 0;
-	/** Since when refusing alone has taken the whole budget. */
-	#fullSinceMs: number | undefined;
-	#isOverloaded = false;
 
 	constructor(options: IngressOptions) {
 		this.#options = options;
@@ -149,6 +150,10 @@
 		this.#costs = this.#fit.costs();
 	}
 
+	get hasBudget(): boolean {
+		return true;
+	}
+
 	admits(team: string, nowMs: number): boolean {
 		this.tick(nowMs);
 		const count = this.#teams.of(team);
@@ -189,7 +194,7 @@
 	}
 
 	isOverloaded(): boolean {
-		return this.#isOverloaded;
+		return this.#lastMs - this.#idle.atMs > OVERLOADED_MS;
 	}
 
 	refusedPart(): number {
@@ -209,7 +214,7 @@
 
 	/** CPU milliseconds per millisecond for open requests and the process itself. */
 	#reserve(open: number): number {
-		return Math.min(this.#budget * (1 - MIN_ADMITTED_PART), ((open * this.#costs.openMs) + this.#costs.idleMs) / 1000);
+		return Math.min(this.#budget * MAX_RESERVE_PART, ((open * this.#costs.openMs) + this.#costs.idleMs) / 1000);
 	}
 
 	#noteIdle(nowMs: number): void {
@@ -250,17 +255,11 @@
 		this.#costs = this.#fit.costs();
 		const total = window.admitted + window.refused;
 		this.#refusedPart = total === 0 ? 0 : window.refused / total;
-		this.#noteFull((window.refused * this.#costs.refusedMs) >= this.#budget * spanMs * (1 - MIN_ADMITTED_PART), nowMs);
 		this.#teams.age();
 		this.#levelAtMs = -Infinity;
 		this.#window = next;
 	}
 
-	#noteFull(isFull: boolean, nowMs: number): void {
-		this.#fullSinceMs = isFull ? this.#fullSinceMs ?? nowMs : undefined;
-		this.#isOverloaded = this.#fullSinceMs !== undefined && nowMs - this.#fullSinceMs >= OVERLOADED_MS;
-	}
-
 	/** Backlog up to which requests of a team are admitted. */
 	#limitOf({offered, admitted}: TeamCount, nowMs: number): number {
 		const full = this.#fullMs;
@@ -294,6 +293,7 @@
 
 /** Admits everything: the VM's share of a processor is not known. */
 const unlimited: Ingress = {
+	hasBudget: false,
 	admits: () => true,
 	tick() {
 		// There is no budget to compare with.
--- a/src/runtime/entry/quick-refusal.ts
+++ b/src/runtime/entry/quick-refusal.ts
@@ -1,9 +1,9 @@
 /**
- * A refusal at the least cost: one write of a whole HTTP answer, after which the connection
- * is closed. Answers of Node's HTTP server cost several times as much, which matters when a
- * VM refuses several hundred requests a second.
+ * A refusal at little cost: one write without a body, after which the connection is closed.
+ * Handles a VM that refuses several hundred requests a second.
  */
-import {type IncomingMessage} from 'node:http';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import process from 'node:process';
 
 /** Milliseconds for which a body that is still arriving is read; callers have to be answered within half a second. */
 const MAX_BODY_MS = 250;
@@ -12,17 +12,24 @@
 /** Milliseconds that a slow caller gets to read the refusal before its connection is cut. */
 const REFUSAL_READ_MS = 5000;
 
-const hasBody = ({headers}: IncomingMessage): boolean =>
-	headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
+/** An answer without a body, with its headers as names and values in turn. */
+export type QuickAnswer = {
+	readonly status: number;
+	readonly headers: readonly string[];
+};
 
 /** Calls back once the body has been read, or has taken too long or too much; not if the connection ends. */
 const afterBody = (req: IncomingMessage, then: () => void): void => {
 	let bytes = 0;
 	let isOver = false;
+	const stop = () => {
+		isOver = true;
+		clearTimeout(timer);
+	};
+
 	const end = () => {
 		if (!isOver) {
-			isOver = true;
-			clearTimeout(timer);
+			stop();
 			then();
 		}
 	};
@@ -35,36 +42,35 @@
 		}
 	});
 	req.once('end', end);
-	req.once('close', () => {
-		isOver = true;
-		clearTimeout(timer);
-	});
+	req.once('close', stop);
 };
 
 /**
- * Writes `answer`, a whole HTTP answer with `Connection: close`, and closes the connection.
- * A connection that is closed with unread bytes is reset, and the refusal lost, so a body
- * is read first, within bounds.
+ * Writes an answer and closes the connection. A connection that is closed with unread bytes
+ * is reset, and the refusal lost, so a body is read first, within bounds.
  */
-export const refuseAtOnce = (req: IncomingMessage, answer: string): void => {
-	const {socket} = req;
+export const refuseAtOnce = (req: IncomingMessage, res: ServerResponse, {status, headers}: QuickAnswer): void => {
 	const write = () => {
-		if (socket.destroyed) {
-			return;
-		}
-
-		socket.write(answer, 'latin1');
-		socket.destroySoon();
-		if (socket.writableLength > 0) {
-			socket.setTimeout(REFUSAL_READ_MS, () => {
-				socket.destroy();
+		res.sendDate = false;
+		res.shouldKeepAlive = false;
+		res.writeHead(status, [...headers, 'content-length', '0', 'connection', 'close']);
+		res.end();
+		if (!res.writableFinished && req.socket.writableLength > 0) {
+			const timer = setTimeout(() => {
+				res.destroy();
+			}, REFUSAL_READ_MS);
+			res.once('close', () => {
+				clearTimeout(timer);
 			});
 		}
 	};
 
-	if (hasBody(req) && !req.complete) {
-		afterBody(req, write);
-	} else {
-		write();
-	}
+	// A body that came in one piece with its head has been read by then.
+	process.nextTick(() => {
+		if (req.complete) {
+			write();
+		} else {
+			afterBody(req, write);
+		}
+	});
 };
--- a/src/runtime/routing/serve-request.ts
+++ b/src/runtime/routing/serve-request.ts
@@ -28,7 +28,7 @@
 	readonly random: () => number;
 	/** Admits by CPU time, where the VM's share of a processor is known. */
 	readonly ingress: Ingress;
-	/** Admits by how late timers are. */
+	/** Admits by how late timers are, elsewhere. */
 	readonly shed: LoadShed;
 	/** Refusals that are logged together. */
 	readonly refusals: RefusalSummary;
@@ -81,32 +81,20 @@
 	ctx: ServeContext,
 ): void => {
 	const {wire, attempts: {metrics}, ingress, shed, refusals, random} = ctx;
-	const retryAfterMs = retryDelayMs(Math.max(ingress.refusedPart(), shed.share()), head.waitsMs, random);
+	const retryAfterMs = retryDelayMs(ingress.hasBudget ? ingress.refusedPart() : shed.share(), head.waitsMs, random);
 	metrics.refusals.inc({reason: VmOverloaded.name, not_run: 'true'});
 	refusals.add({reason: VmOverloaded.name, team, requestId: head.requestId}, nowMs);
-	if (res.socket === req.socket) {
-		refuseAtOnce(req, wire.overloadedAnswer(head.requestId, retryAfterMs));
-		return;
-	}
-
-	// The answer to an earlier request of the connection is not complete yet and goes first.
-	res.setHeader('connection', 'close');
-	req.resume();
-	wire.writeRefusal(res, new RefusalError(VmOverloaded, {}, {retryAfterMs}), head.requestId);
+	refuseAtOnce(req, res, wire.overloadedAnswer(head.requestId, retryAfterMs));
 };
 
 /** Serves one request; never rejects. */
 export const serveRequest = async (req: IncomingMessage, res: ServerResponse, ctx: ServeContext): Promise<void> => {
 	const {view, wire, attempts, random, ingress, shed, isBehind} = ctx;
-	if (req.socket.writableEnded) {
-		// An earlier request of the connection was refused, and nothing after it is served.
-		return;
-	}
-
 	const arrivedMs = attempts.clock.nowMs();
 	const head = wire.readHead(req);
 	const sender = view.inForce()?.config.teamsByKey?.get(head.key ?? '') ?? NO_TEAM;
-	if (!ingress.admits(sender, arrivedMs) || !shed.takes(sender, arrivedMs)) {
+	const isAdmitted = ingress.hasBudget ? ingress.admits(sender, arrivedMs) : shed.takes(sender, arrivedMs);
+	if (!isAdmitted) {
 		refuseOverloaded({req, res, head}, {team: sender, nowMs: arrivedMs}, ctx);
 		return;
 	}
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -5,7 +5,6 @@
 import {createCostEstimator} from '../../core/admission/cost-estimator.js';
 import {createIngress} from '../../core/admission/ingress.js';
 import {createLoadShed} from '../../core/admission/load-shed.js';
-import {createOverloadWatch} from '../../core/admission/overload-watch.js';
 import {createRefusalSummary} from '../../core/admission/refusal-summary.js';
 import {createTeamGate} from '../../core/admission/team-gate.js';
 import {type Clock} from '../../core/clock.js';
@@ -145,7 +144,6 @@
 	const report = createIngressReport({
 		log, metrics, ingress, refusals,
 	});
-	const overload = createOverloadWatch({ingress, shed, hasBudget: limits.processorShare !== undefined});
 	const scheduler = createPlacementScheduler({
 		vm, dataCentre, bounds, clock, view, vms, log, loads, random,
 		isBehind: () => shed.share() > 0,
@@ -159,7 +157,6 @@
 			const nowMs = clock.nowMs();
 			shed.noteDelay(delayMs);
 			ingress.tick(nowMs);
-			overload.look(nowMs);
 			metrics.shedShare.set(shed.share());
 			report.look(nowMs);
 		},
@@ -219,7 +216,7 @@
 		});
 	}
 
-	const isReady = () => !isLeaving && view.isComplete() && !overload.isOverloaded();
+	const isReady = () => !isLeaving && view.isComplete() && !(ingress.hasBudget ? ingress : shed).isOverloaded();
 	const statusServers = await startStatus(options, {isReady, loads});
 	const address = await listenForCallers(servers, options.callers);
 	log.info('started', {vm, data_centre: dataCentre, callers: address});
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -5,6 +5,7 @@
 import {type FleetBounds} from '../../core/placement/types.js';
 import {type NewsWord} from '../../core/news/types.js';
 import {type FleetNews, type Route} from '../../core/routing/types.js';
+import {type QuickAnswer} from '../entry/quick-refusal.js';
 import {type EntryLimits} from '../entry/types.js';
 import {type Headers, type Job, type TargetRequest} from '../entry/job.js';
 
@@ -28,8 +29,8 @@
 	/** Headers that go on to the target, with the team's name. */
 	readonly targetHeaders: (headers: IncomingHttpHeaders, team: string | undefined) => Headers;
 	readonly writeRefusal: (res: ServerResponse, err: RefusalError, requestId: string) => void;
-	/** The whole HTTP answer of a VM that has no room; it closes the connection. */
-	readonly overloadedAnswer: (requestId: string, retryAfterMs: number) => string;
+	/** The answer of a VM that has no room. */
+	readonly overloadedAnswer: (requestId: string, retryAfterMs: number) => QuickAnswer;
 };
 
 /**
--- a/test/admission/ingress.test.ts
+++ b/test/admission/ingress.test.ts
@@ -86,10 +86,14 @@
 	t.is(answered.filter(({atMs, isAdmitted}) => atMs > 6000 && !isAdmitted).length, 0);
 });
 
-test('a VM whose budget the refusals alone use up is overloaded after two seconds, not before', t => {
-	const {ingress} = runFlood({...vm, costs: {...vm.costs, refusedMs: 0.6}}, arrivalsOf('flood', 900, [0, 800]));
-	t.false(ingress.isOverloaded());
-	t.true(runFlood({...vm, costs: {...vm.costs, refusedMs: 0.6}}, arrivalsOf('flood', 1500, [0, 6000])).ingress.isOverloaded());
+test('a VM leaves rotation when it cannot catch up by refusing for two seconds, not before', t => {
+	const dear = {...vm, costs: {...vm.costs, refusedMs: 0.6}};
+	t.false(runFlood(dear, arrivalsOf('flood', 900, [0, 800])).ingress.isOverloaded());
+	t.true(runFlood(dear, arrivalsOf('flood', 900, [0, 6000])).ingress.isOverloaded());
+});
+
+test('a VM that keeps up by refusing stays in rotation during the whole flood', t => {
+	t.false(runFlood(vm, arrivalsOf('flood', 700, [0, 8000])).ingress.isOverloaded());
 });
 
 test('a VM with several times the processor admits more of the same flood', t => {
--- a/test/admission/refusals.test.ts
+++ b/test/admission/refusals.test.ts
@@ -1,6 +1,5 @@
 /** What a VM without room tells callers and operators. */
 import test from 'ava';
-import {createOverloadWatch} from '../../src/core/admission/overload-watch.js';
 import {createRefusalSummary} from '../../src/core/admission/refusal-summary.js';
 import {retryDelayMs} from '../../src/core/admission/retry-delay.js';
 
@@ -37,27 +36,3 @@
 	t.snapshot(summary.takeAll(1600));
 	t.deepEqual(summary.takeAll(1600), []);
 });
-
-test('a VM stays in rotation while refusals keep it in time, and leaves it when they do not for two seconds', t => {
-	let isLate = false;
-	const watch = createOverloadWatch({ingress: {isOverloaded: () => false}, shed: {isOverloaded: () => isLate}, hasBudget: true});
-	const lookUntil = (fromMs: number, toMs: number) => {
-		for (let nowMs = fromMs; nowMs < toMs; nowMs += 250) {
-			watch.look(nowMs);
-		}
-
-		return watch.isOverloaded();
-	};
-
-	t.false(lookUntil(0, 5000));
-	isLate = true;
-	t.false(lookUntil(5000, 7000), 'a flood of two seconds moves nobody to another VM');
-	t.true(lookUntil(7000, 8000));
-	isLate = false;
-	t.false(lookUntil(8000, 8250));
-});
-
-test('without a budget a VM that is late asks for no new callers at once, as before', t => {
-	const watch = createOverloadWatch({ingress: {isOverloaded: () => false}, shed: {isOverloaded: () => true}, hasBudget: false});
-	t.true(watch.isOverloaded());
-});
