--- a/src/core/placement/drain-rate.ts
+++ b/src/core/placement/drain-rate.ts
@@ -66,7 +66,8 @@
 		advance(state, nowMs) {
 			const stepMs = Math.min(MAX_STEP_MS, nowMs - last.atMs);
 			if (last.isBacklogged) {
-				const decay = Math.exp(-stepMs / AVERAGING_MS);
+				// Steps are short against the average, so this is close to exponential decay.
+				const decay = 1 - (stepMs / AVERAGING_MS);
 				started *= decay;
 				busyMs = (busyMs * decay) + stepMs;
 			}
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -37,6 +37,8 @@
 /** What is told when no target is known. */
 const NO_TARGET_RETRY_AFTER_MS = 1000;
 
+type Message<Kind extends PlacementMessage['kind']> = Extract<PlacementMessage, {kind: Kind}>;
+
 export type ServicePlacementOptions = {
 	readonly service: RoutedService;
 	readonly bounds: FleetBounds;
@@ -56,6 +58,10 @@
 /** Cost of a request for its team's share: a token read counts once, a token generated twice. */
 const costOf = ({prompt}: PlacedAsk): number => prompt ? prompt.tokens + (2 * prompt.outputTokens) : 1;
 
+/** Tokens of a prompt that no other request shares. */
+const ownTokens = ({tokens, parts}: NonNullable<PlacedAsk['prompt']>): number =>
+	parts.slice(0, -1).reduce((left, part) => left - part.tokens, tokens);
+
 const toPeers = (outgoing: readonly Outgoing[]): readonly PlacementEffect[] => outgoing.map(({vm, message}) => ({kind: 'tell-peer', vm, message}));
 
 export class ServicePlacement {
@@ -158,23 +164,12 @@
 			}
 
 			case 'end': {
-				const target = this.#known.get(message.target);
-				if (target) {
-					noteEnd(target, message, this.#wordContext(nowMs));
-					if (message.result.kind === 'answered') {
-						this.#answerTime.note(message.result.answerMs);
-					}
-				}
-
+				this.#onEnd(message, nowMs);
 				return toPeers(this.#reservations.noteProgress(message.grantId, true, nowMs));
 			}
 
 			case 'observe': {
-				const target = this.#known.get(message.target);
-				if (target) {
-					noteObservation(target, message, this.#wordContext(nowMs));
-				}
-
+				this.#onObserve(message, nowMs);
 				return message.observation.kind === 'first-token' ? toPeers(this.#reservations.noteProgress(message.grantId, false, nowMs)) : [];
 			}
 
@@ -206,6 +201,7 @@
 		const ctx = this.#context(nowMs);
 		if (ask.tried.length === 0) {
 			this.#shares.noteAsked(ask.team, costOf(ask), nowMs);
+			this.#queue.noteAsked(ask, nowMs);
 		}
 
 		if (!hasTargetLeft(ask, ctx)) {
@@ -226,9 +222,8 @@
 		return refused ? [this.#reject(refused, ctx)] : [];
 	}
 
-	/** Late requests take only what the others leave. */
-	#givesWay({team}: PlacedAsk, tier: Tier, nowMs: number): boolean {
-		return tier === 'late' || this.#shares.isBeyondShare(team, nowMs);
+	#givesWay(ask: PlacedAsk, tier: Tier, nowMs: number): boolean {
+		return this.#queue.givesWay(ask, tier, nowMs) || this.#shares.isBeyondShare(ask.team, nowMs);
 	}
 
 	/** Starts an ask or asks for room for it; undefined when no target takes it now. */
@@ -330,6 +325,24 @@
 		return effects;
 	}
 
+	#onEnd(message: Message<'end'>, nowMs: number): void {
+		const target = this.#known.get(message.target);
+		if (target) {
+			noteEnd(target, message, this.#wordContext(nowMs));
+		}
+
+		if (message.result.kind === 'answered') {
+			this.#answerTime.note(message.result.answerMs);
+		}
+	}
+
+	#onObserve(message: Message<'observe'>, nowMs: number): void {
+		const target = this.#known.get(message.target);
+		if (target) {
+			noteObservation(target, message, this.#wordContext(nowMs));
+		}
+	}
+
 	#wordContext(nowMs: number): WordContext {
 		return {coldStartMs: this.#service.coldStartMs, readRate: this.#readRate, nowMs};
 	}
@@ -393,6 +406,10 @@
 
 	/** Starts what can start. */
 	#dispatch(nowMs: number): readonly PlacementEffect[] {
+		if (!this.#queue.isDue(nowMs)) {
+			return [];
+		}
+
 		const effects: PlacementEffect[] = [];
 		const ctx = this.#context(nowMs);
 		this.#queue.dispatch({
@@ -468,11 +485,11 @@
 		return plainWaitShare(this.#answerTime.mostMs(), ask);
 	}
 
-	/** Milliseconds that a request's own prompt takes to read, by the last owner that declined it, else if nothing of it is kept; or that a plain one takes. */
+	/** Milliseconds that a request's own prompt takes to read, by the last owner that declined it, else with its shared parts kept; or that a plain one takes. */
 	#startMsOf(ask: PlacedAsk): number {
 		const {prompt} = ask;
 		if (prompt) {
-			return this.#reservations.ownMsOf(ask) || prompt.tokens / this.#readRate.tokensPerMs();
+			return this.#reservations.ownMsOf(ask) || ownTokens(prompt) / this.#readRate.tokensPerMs();
 		}
 
 		return this.#service.engine ? 0 : this.#answerTime.meanMs();
--- a/src/core/placement/service-queue.ts
+++ b/src/core/placement/service-queue.ts
@@ -11,16 +11,23 @@
 import {costAhead} from './cost-ahead.js';
 import {startInOrder} from './dispatch-order.js';
 import {createDrainRate} from './drain-rate.js';
+import {createKindService} from './kind-service.js';
 import {createRetryDelays, type RetryDelays} from './retry-delay.js';
 import {priorityOf, TeamQueues, type WaitingAsk} from './team-queues.js';
 import {type PlacedAsk} from './types.js';
+import {createUrgency} from './urgency.js';
 import {inTimeEndMs, patienceEndMs} from './waiting-times.js';
 
 /** Milliseconds between checks of whether each late request still gets its turn; the rate of starts changes little in less. */
 const CHECK_EVERY_MS = 100;
+/** Milliseconds between rounds of late requests: a tenth of the least latency target, which they have missed; each try costs processor time, and a call to another VM in front of engines. */
+const LATE_ROUND_MS = 30;
 /** Part of the time in the first tier within which a request must be expected to get its turn to count on it: requests of teams that received less come before it meanwhile. */
 const SURE_SHARE = 0.5;
 
+/** Priority of a kind that is served far less than others. */
+const FIRST_OF_ALL = -1;
+
 export type Tier = 'in-time' | 'late';
 
 /** Where a request stood when it began to wait, for the log. */
@@ -68,7 +75,11 @@
 	readonly #tiers = {'in-time': createTier(), late: createTier()};
 	readonly #facts = new Map<string, QueueFacts>();
 	readonly #delays: RetryDelays;
+	readonly #kinds = createKindService();
+	readonly #urgency = createUrgency();
 	#checkedMs = -Infinity;
+	#triedLateMs = -Infinity;
+	#expiredLateMs = -Infinity;
 
 	constructor(options: ServiceQueueOptions) {
 		this.#options = options;
@@ -80,7 +91,7 @@
 	}
 
 	get isEmpty(): boolean {
-		return this.size === 0;
+		return this.#tiers['in-time'].queues.isEmpty && this.#tiers.late.queues.isEmpty;
 	}
 
 	sizeOf(tier: Tier): number {
@@ -139,6 +150,16 @@
 		this.#insert(ask, this.tierOf(ask, nowMs));
 	}
 
+	/** Takes in that a caller asked. */
+	noteAsked({kind = ''}: PlacedAsk, nowMs: number): void {
+		this.#kinds.noteAsked(kind, nowMs);
+	}
+
+	/** Whether a request gives way to others: a late one, or one less urgent than requests that had to wait. */
+	givesWay(ask: PlacedAsk, tier: Tier, nowMs: number): boolean {
+		return tier === 'late' || (this.#urgency.givesWay(priorityOf(ask), nowMs) && !this.#kinds.isStarving(ask.kind ?? '', nowMs));
+	}
+
 	/** Forgets a request. */
 	remove(requestId: string): void {
 		this.#facts.delete(requestId);
@@ -156,11 +177,10 @@
 	noteStarted(ask: PlacedAsk, nowMs: number): QueueFacts | undefined {
 		const facts = this.#facts.get(ask.requestId);
 		this.#facts.delete(ask.requestId);
-		this.#advance(nowMs);
-		const tier = this.#tiers[this.tierOf(ask, nowMs)];
-		const hasWaited = facts !== undefined || !tier.queues.isEmpty;
-		if (hasWaited) {
-			tier.drain.noteStarted(this.#options.costOf(ask));
+		this.#kinds.noteStarted(ask.kind ?? '', nowMs);
+		if (facts !== undefined || !this.isEmpty) {
+			this.#advance(nowMs);
+			this.#tiers[this.tierOf(ask, nowMs)].drain.noteStarted(this.#options.costOf(ask));
 		}
 
 		return facts;
@@ -178,7 +198,8 @@
 		}
 
 		const {queues} = this.#tiers.late;
-		if (!queues.isEmpty) {
+		if (!queues.isEmpty && nowMs >= this.#expiredLateMs + LATE_ROUND_MS) {
+			this.#expiredLateMs = nowMs;
 			leaving.push(...queues.removeAll(ask => nowMs >= this.#patienceEndMs(ask)).map(({ask}) => this.#leave(ask, 'too-late')));
 			if (nowMs >= this.#checkedMs + CHECK_EVERY_MS) {
 				this.#checkedMs = nowMs;
@@ -189,17 +210,28 @@
 		return leaving;
 	}
 
+	/** Whether requests are to be offered to the targets now. */
+	isDue(nowMs: number): boolean {
+		return !this.#tiers['in-time'].queues.isEmpty || (!this.#tiers.late.queues.isEmpty && nowMs >= this.#triedLateMs + LATE_ROUND_MS);
+	}
+
 	/** Offers all that wait to the targets, late requests after those in time. */
 	dispatch({useCeiling, isPaused, tryStart}: DispatchRound, nowMs: number): void {
 		const {useOf, isTiered} = this.#options;
 		for (const tier of ['in-time', 'late'] as const) {
 			const {queues} = this.#tiers[tier];
-			if (queues.isEmpty) {
+			for (const {priority, waiting: [first]} of queues.lanes()) {
+				if (tier === 'in-time' && first) {
+					this.#urgency.noteWait(priority, nowMs - first.ask.arrivedMs, nowMs);
+				}
+			}
+
+			if (queues.isEmpty || (tier === 'late' && !this.#mayTryLate(nowMs))) {
 				continue;
 			}
 
 			startInOrder(queues.lanes(), {
-				priorityOf: ({priority}) => priority,
+				priorityOf: ({kind, priority}) => this.#kinds.isStarving(kind, nowMs) ? FIRST_OF_ALL : priority,
 				useOf: team => useOf(team, nowMs),
 				useCeiling,
 				looksBeyond: isTiered(),
@@ -231,6 +263,16 @@
 		}, nowMs);
 	}
 
+	/** While requests in time wait there is no room left over. */
+	#mayTryLate(nowMs: number): boolean {
+		if (!this.#tiers['in-time'].queues.isEmpty || nowMs < this.#triedLateMs + LATE_ROUND_MS) {
+			return false;
+		}
+
+		this.#triedLateMs = nowMs;
+		return true;
+	}
+
 	#leave(ask: PlacedAsk, reason: Leaving['reason']): Leaving {
 		const queue = this.#facts.get(ask.requestId);
 		this.#facts.delete(ask.requestId);
