--- a/src/core/placement/service-queue.ts
+++ b/src/core/placement/service-queue.ts
@@ -11,16 +11,24 @@
 import {costAhead} from './cost-ahead.js';
 import {startInOrder} from './dispatch-order.js';
 import {createDrainRate} from './drain-rate.js';
+import {createKindService} from './kind-service.js';
+import {createLateOdds} from './late-odds.js';
 import {createRetryDelays, type RetryDelays} from './retry-delay.js';
 import {priorityOf, TeamQueues, type WaitingAsk} from './team-queues.js';
 import {type PlacedAsk} from './types.js';
+import {createUrgency} from './urgency.js';
 import {inTimeEndMs, patienceEndMs} from './waiting-times.js';
 
 /** Milliseconds between checks of whether each late request still gets its turn; the rate of starts changes little in less. */
 const CHECK_EVERY_MS = 100;
+/** Milliseconds between rounds of late requests: a tenth of the least latency target, which they have missed; each try costs processor time, and a call to another VM in front of engines. */
+const LATE_ROUND_MS = 30;
 /** Part of the time in the first tier within which a request must be expected to get its turn to count on it: requests of teams that received less come before it meanwhile. */
 const SURE_SHARE = 0.5;
 
+/** Priority of a kind that is served far less than others. */
+const FIRST_OF_ALL = -1;
+
 export type Tier = 'in-time' | 'late';
 
 /** Where a request stood when it began to wait, for the log. */
@@ -68,7 +76,12 @@
 	readonly #tiers = {'in-time': createTier(), late: createTier()};
 	readonly #facts = new Map<string, QueueFacts>();
 	readonly #delays: RetryDelays;
+	readonly #kinds = createKindService();
+	readonly #urgency = createUrgency();
+	readonly #odds = createLateOdds();
 	#checkedMs = -Infinity;
+	#triedLateMs = -Infinity;
+	#expiredLateMs = -Infinity;
 
 	constructor(options: ServiceQueueOptions) {
 		this.#options = options;
@@ -80,7 +93,7 @@
 	}
 
 	get isEmpty(): boolean {
-		return this.size === 0;
+		return this.#tiers['in-time'].queues.isEmpty && this.#tiers.late.queues.isEmpty;
 	}
 
 	sizeOf(tier: Tier): number {
@@ -139,6 +152,16 @@
 		this.#insert(ask, this.tierOf(ask, nowMs));
 	}
 
+	/** Takes in that a caller asked. */
+	noteAsked({kind = ''}: PlacedAsk, nowMs: number): void {
+		this.#kinds.noteAsked(kind, nowMs);
+	}
+
+	/** Whether a request gives way to others: a late one, or one less urgent than requests that had to wait. */
+	givesWay(ask: PlacedAsk, tier: Tier, nowMs: number): boolean {
+		return tier === 'late' || (this.#urgency.givesWay(priorityOf(ask), nowMs) && !this.#kinds.isStarving(ask.kind ?? '', nowMs));
+	}
+
 	/** Forgets a request. */
 	remove(requestId: string): void {
 		this.#facts.delete(requestId);
@@ -156,11 +179,14 @@
 	noteStarted(ask: PlacedAsk, nowMs: number): QueueFacts | undefined {
 		const facts = this.#facts.get(ask.requestId);
 		this.#facts.delete(ask.requestId);
-		this.#advance(nowMs);
-		const tier = this.#tiers[this.tierOf(ask, nowMs)];
-		const hasWaited = facts !== undefined || !tier.queues.isEmpty;
-		if (hasWaited) {
-			tier.drain.noteStarted(this.#options.costOf(ask));
+		this.#kinds.noteStarted(ask.kind ?? '', nowMs);
+		if (facts !== undefined || !this.isEmpty) {
+			this.#advance(nowMs);
+			const tier = this.tierOf(ask, nowMs);
+			this.#tiers[tier].drain.noteStarted(this.#options.costOf(ask));
+			if (tier === 'late') {
+				this.#odds.noteStarted(nowMs);
+			}
 		}
 
 		return facts;
@@ -178,8 +204,9 @@
 		}
 
 		const {queues} = this.#tiers.late;
-		if (!queues.isEmpty) {
-			leaving.push(...queues.removeAll(ask => nowMs >= this.#patienceEndMs(ask)).map(({ask}) => this.#leave(ask, 'too-late')));
+		if (!queues.isEmpty && nowMs >= this.#expiredLateMs + LATE_ROUND_MS) {
+			this.#expiredLateMs = nowMs;
+			leaving.push(...queues.removeAll(ask => nowMs >= this.#patienceEndMs(ask)).map(({ask}) => this.#leaveLate(ask, 'too-late', nowMs)));
 			if (nowMs >= this.#checkedMs + CHECK_EVERY_MS) {
 				this.#checkedMs = nowMs;
 				leaving.push(...this.#takeHopeless(nowMs));
@@ -189,17 +216,28 @@
 		return leaving;
 	}
 
+	/** Whether requests are to be offered to the targets now. */
+	isDue(nowMs: number): boolean {
+		return !this.#tiers['in-time'].queues.isEmpty || (!this.#tiers.late.queues.isEmpty && nowMs >= this.#triedLateMs + LATE_ROUND_MS);
+	}
+
 	/** Offers all that wait to the targets, late requests after those in time. */
 	dispatch({useCeiling, isPaused, tryStart}: DispatchRound, nowMs: number): void {
 		const {useOf, isTiered} = this.#options;
 		for (const tier of ['in-time', 'late'] as const) {
 			const {queues} = this.#tiers[tier];
-			if (queues.isEmpty) {
+			for (const {priority, waiting: [first]} of queues.lanes()) {
+				if (tier === 'in-time' && first) {
+					this.#urgency.noteWait(priority, nowMs - first.ask.arrivedMs, nowMs);
+				}
+			}
+
+			if (queues.isEmpty || (tier === 'late' && !this.#mayTryLate(nowMs))) {
 				continue;
 			}
 
 			startInOrder(queues.lanes(), {
-				priorityOf: ({priority}) => priority,
+				priorityOf: ({kind, priority}) => this.#kinds.isStarving(kind, nowMs) ? FIRST_OF_ALL : priority,
 				useOf: team => useOf(team, nowMs),
 				useCeiling,
 				looksBeyond: isTiered(),
@@ -231,12 +269,28 @@
 		}, nowMs);
 	}
 
+	/** While requests in time wait there is no room left over. */
+	#mayTryLate(nowMs: number): boolean {
+		if (!this.#tiers['in-time'].queues.isEmpty || nowMs < this.#triedLateMs + LATE_ROUND_MS) {
+			return false;
+		}
+
+		this.#triedLateMs = nowMs;
+		return true;
+	}
+
 	#leave(ask: PlacedAsk, reason: Leaving['reason']): Leaving {
 		const queue = this.#facts.get(ask.requestId);
 		this.#facts.delete(ask.requestId);
 		return {ask, reason, queue};
 	}
 
+	/** A late request leaves that had waited. */
+	#leaveLate(ask: PlacedAsk, reason: Leaving['reason'], nowMs: number): Leaving {
+		this.#odds.noteLeft(nowMs);
+		return this.#leave(ask, reason);
+	}
+
 	#inTimeEndMs(ask: PlacedAsk): number {
 		return inTimeEndMs(ask, this.#options.waitShareOf(ask));
 	}
@@ -308,7 +362,7 @@
 	#getsTurn(ask: PlacedAsk, facts: QueueFacts, nowMs: number): boolean {
 		const patienceMs = this.#patienceEndMs(ask) - nowMs;
 		if (facts.tier === 'late') {
-			return this.#isWithin(facts.costAhead, 'late', patienceMs);
+			return (this.#tiers.late.queues.isEmpty || this.#odds.isWorthwhile(nowMs)) && this.#isWithin(facts.costAhead, 'late', patienceMs);
 		}
 
 		const inTimeMs = this.#inTimeEndMs(ask) - nowMs;
@@ -357,7 +411,7 @@
 					ownCost += cost;
 				} else {
 					queues.remove(ask.requestId);
-					leaving.push(this.#leave(ask, 'no-turn'));
+					leaving.push(this.#leaveLate(ask, 'no-turn', nowMs));
 				}
 			}
 		}
