Let a prompt wait for a shared part that its engine is prefilling

Cause: prompts of one team arrive together. One that reached the engine while its shared part was being prefilled had it prefilled once more, there or at the engine that it was sent to after a decline.

Change: the ledger finds the request that is prefilling most of a wish's shared parts (2,000 tokens at least beyond what is kept). The wish then takes room for its own tokens only, and the answer says how long to wait at the most (`start_after_ms`). When the first token of the other request comes, or it ends, the owner answers a second time; if that is lost, or the owner is gone, the request is sent when the part should be there. A request whose prefiller ended without a first token prefills the part itself, and the others wait for it. What waits is not counted as ahead of what is sent now, and nothing is let in that would make what waits start after 0.8 of its latency target. A part that no engine is known to keep is offered to its homes only, while one of them is open. A grant whose answer comes twice is no longer given back.

Ruled out: counting the shared part once without a wait (the engine looks what it keeps when a prompt arrives).

The replay test fails on the code before.

--- a/src/core/placement/reservations.ts
+++ b/src/core/placement/reservations.ts
@@ -6,7 +6,9 @@
 import {type RoutedService} from '../routing/types.js';
 import {type PlacedTarget} from './placed-target.js';
 import {type Candidate} from './target-choice.js';
-import {TargetLedger, type ReservationAnswer, type ReservationWish} from './target-ledger.js';
+import {
+	MAX_AWAIT_MS, TargetLedger, type ReservationAnswer, type ReservationWish,
+} from './target-ledger.js';
 import {createTargetOwners, type TargetOwners} from './target-owners.js';
 import {type PlacedAsk} from './types.js';
 
@@ -35,6 +37,15 @@
 	readonly candidate: Candidate;
 	readonly owner: string;
 	readonly askedMs: number;
+	/** Present once granted, while a shared part of the prompt is being prefilled. */
+	readonly granted?: {readonly answer: ReservationAnswer; readonly startByMs: number};
+};
+
+/** A request that waits no longer for what owners say. */
+export type Overdue = Pick<Pending, 'ask' | 'candidate'> & {
+	readonly id: string;
+	/** Whether it was granted, and the word that a shared part was prefilled did not come in time. */
+	readonly isGranted: boolean;
 };
 
 /** What became of a wish for room. */
@@ -42,6 +53,8 @@
 	| {readonly kind: 'granted'; readonly candidate: Candidate}
 	| {readonly kind: 'declined'}
 	| {readonly kind: 'asked'; readonly outgoing: Outgoing}
+	/** It has room, and is sent when a shared part of it has been prefilled. */
+	| {readonly kind: 'waits'}
 	/** No owner is in reach. */
 	| {readonly kind: 'unowned'};
 
@@ -67,6 +80,8 @@
 	readonly #closed = new Map<string, Closed>();
 	/** Tries in a row and the end of the pause, by request. */
 	readonly #tries = new Map<string, {readonly count: number; readonly notBeforeMs: number; readonly last: LastDecline}>();
+	/** VMs whose requests wait for a shared part, by grant. */
+	readonly #askers = new Map<string, {readonly vm: string; readonly target: string}>();
 	/** Leading tokens that the home of a prompt can pass on, by the last of its `sharedKeys`. */
 	readonly #copyable = new Map<number, {readonly tokens: number; readonly atMs: number}>();
 
@@ -131,7 +146,7 @@
 			return {kind: 'asked', outgoing: {vm: owner, message: {kind: 'request', wish}}};
 		}
 
-		const answer = this.#answer(wish, nowMs);
+		const answer = this.#answer(owner, wish, nowMs);
 		return this.#take(id, {
 			ask, candidate, owner, askedMs: nowMs,
 		}, answer, nowMs);
@@ -142,7 +157,8 @@
 		this.#owners.noteHeard(from);
 		const pending = this.#pending.get(id);
 		if (!pending) {
-			return answer.isGranted
+			// An answer that comes twice is no second grant.
+			return answer.isGranted && !this.#ownersOfGrants.has(id)
 				? {
 					vm: from, message: {
 						kind: 'progress', id, target: answer.target, hasEnded: true,
@@ -158,28 +174,41 @@
 	/** Answers another VM's wish as the owner. */
 	onRequest(from: string, wish: ReservationWish, nowMs: number): Outgoing | undefined {
 		return this.#options.targetOf(wish.target)
-			? {vm: from, message: {kind: 'answer', id: wish.id, answer: this.#answer(wish, nowMs)}}
+			? {vm: from, message: {kind: 'answer', id: wish.id, answer: this.#answer(from, wish, nowMs)}}
 			: undefined;
 	}
 
-	onProgress({id, target, hasEnded}: Extract<PeerMessage, {kind: 'progress'}>, nowMs: number): void {
+	/** Takes in what became of a grant; returns the answers to requests that waited for its prompt, which may be requests of this VM. */
+	onProgress({id, target, hasEnded}: Extract<PeerMessage, {kind: 'progress'}>, nowMs: number): readonly Outgoing[] {
 		const ledger = this.#ledgers.get(target);
 		if (hasEnded) {
-			ledger?.noteEnded(id);
+			this.#askers.delete(id);
+			ledger?.noteEnded(id, nowMs);
 		} else {
 			ledger?.noteStarted(id, nowMs);
 		}
+
+		return ledger ? this.#released(ledger, nowMs) : [];
 	}
 
 	/** Takes out the requests whose owners did not answer in time. */
-	takeOverdue(nowMs: number): ReadonlyArray<Pending & {readonly id: string}> {
-		const overdue = [...this.#pending].filter(([, {askedMs}]) => nowMs >= askedMs + ANSWER_MS).map(([id, pending]) => ({...pending, id}));
-		for (const {id, owner} of overdue) {
+	takeOverdue(nowMs: number): readonly Overdue[] {
+		const overdue = [...this.#pending].filter(([, {askedMs, granted}]) => nowMs >= (granted?.startByMs ?? askedMs + ANSWER_MS));
+		return overdue.map(([id, pending]) => {
+			const {ask, candidate, owner, granted} = pending;
 			this.#pending.delete(id);
-			this.#owners.noteSilent(owner, nowMs);
-		}
-
-		return overdue;
+			if (!granted) {
+				this.#owners.noteSilent(owner, nowMs);
+				return {
+					id, ask, candidate, isGranted: false,
+				};
+			}
+
+			this.#ownersOfGrants.set(id, {owner, target: candidate.target.record.id});
+			return {
+				id, ask, candidate: withKept(candidate, granted.answer), isGranted: true,
+			};
+		});
 	}
 
 	/** Notes that a request is no longer waited for; returns what owners have to hear. */
@@ -213,14 +242,18 @@
 			return [{vm: reserved.owner, message}];
 		}
 
-		this.onProgress(message, nowMs);
-		return [];
+		return this.onProgress(message, nowMs);
 	}
 
 	/** Forgets a target that is gone or lost its memory. */
 	forget(target: string): void {
 		this.#ledgers.delete(target);
 		this.#closed.delete(target);
+		for (const [id, asker] of this.#askers) {
+			if (asker.target === target) {
+				this.#askers.delete(id);
+			}
+		}
 	}
 
 	#wishOf(id: string, ask: PlacedAsk & {readonly prompt: NonNullable<PlacedAsk['prompt']>}, {target, keys, copiedTokens, reason}: Candidate, nowMs: number): ReservationWish {
@@ -230,23 +263,42 @@
 		};
 	}
 
-	#answer(wish: ReservationWish, nowMs: number): ReservationAnswer {
+	#answer(from: string, wish: ReservationWish, nowMs: number): ReservationAnswer {
 		const {service, targetOf} = this.#options;
 		const target = targetOf(wish.target);
 		const ledger = this.#ledgers.get(wish.target)
 			?? new TargetLedger(wish.target, {capacityTokens: () => service().engine?.kvCapacityTokens ?? 0, nowMs});
 		this.#ledgers.set(wish.target, ledger);
-		return ledger.reserve(wish, {
+		const answer = ledger.reserve(wish, {
 			service: service(), slots: target?.record.slots ?? 0, observedRunning: target ? target.running + target.othersRunning(nowMs) : 0, nowMs,
 		});
+		if (answer.startAfterMs > 0) {
+			this.#askers.set(wish.id, {vm: from, target: wish.target});
+		}
+
+		return answer;
+	}
+
+	#released(ledger: TargetLedger, nowMs: number): readonly Outgoing[] {
+		return [...ledger.takeReleased(nowMs)].flatMap(([id, answer]) => {
+			const vm = this.#askers.get(id)?.vm;
+			this.#askers.delete(id);
+			return vm === undefined ? [] : [{vm, message: {kind: 'answer', id, answer}} as const];
+		});
 	}
 
-	#take(id: string, {ask, candidate, owner}: Pending, answer: ReservationAnswer, nowMs: number): ReserveResult {
+	#take(id: string, pending: Pending, answer: ReservationAnswer, nowMs: number): ReserveResult {
+		const {ask, candidate, owner} = pending;
 		const {target, keys, newTokens} = candidate;
 		if (candidate.isHome) {
 			this.#noteCopyable(keys, answer.keptTokens, nowMs);
 		}
 
+		if (answer.startAfterMs > 0) {
+			this.#pending.set(id, {...pending, granted: {answer, startByMs: nowMs + Math.min(MAX_AWAIT_MS, answer.startAfterMs)}});
+			return {kind: 'waits'};
+		}
+
 		if (answer.isGranted) {
 			this.#ownersOfGrants.set(id, {owner, target: target.record.id});
 			return {kind: 'granted', candidate: withKept(candidate, answer)};
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -152,17 +152,17 @@
 
 			case 'withdraw': {
 				this.#queues.remove(ask => ask.requestId === message.requestId);
-				return toPeers(this.#reservations.withdraw(message.requestId));
+				return this.#tellOwners(this.#reservations.withdraw(message.requestId), nowMs);
 			}
 
 			case 'end': {
 				this.#onEnd(message, nowMs);
-				return toPeers(this.#reservations.noteProgress(message.grantId, true, nowMs));
+				return this.#tellOwners(this.#reservations.noteProgress(message.grantId, true, nowMs), nowMs);
 			}
 
 			case 'observe': {
 				this.#onObserve(message, nowMs);
-				return message.observation.kind === 'first-token' ? toPeers(this.#reservations.noteProgress(message.grantId, false, nowMs)) : [];
+				return message.observation.kind === 'first-token' ? this.#tellOwners(this.#reservations.noteProgress(message.grantId, false, nowMs), nowMs) : [];
 			}
 
 			case 'sent-elsewhere': {
@@ -234,6 +234,10 @@
 				return toPeers([result.outgoing]);
 			}
 
+			if (result.kind === 'waits') {
+				return [];
+			}
+
 			if (result.kind === 'unowned') {
 				return undefined;
 			}
@@ -242,6 +246,11 @@
 		return undefined;
 	}
 
+	/** Messages of reservations, of which some may be to this VM. */
+	#tellOwners(outgoing: readonly Outgoing[], nowMs: number): readonly PlacementEffect[] {
+		return outgoing.flatMap(one => one.vm === this.#options.vm ? this.#onPeer(one.vm, one.message, nowMs) : toPeers([one]));
+	}
+
 	#onPeer(from: string, message: PeerMessage, nowMs: number): readonly PlacementEffect[] {
 		switch (message.kind) {
 			case 'request': {
@@ -250,8 +259,7 @@
 			}
 
 			case 'progress': {
-				this.#reservations.onProgress(message, nowMs);
-				return [];
+				return this.#tellOwners(this.#reservations.onProgress(message, nowMs), nowMs);
 			}
 
 			case 'answer': {
@@ -266,11 +274,15 @@
 	}
 
 	#onAnswered(grantId: string, {ask, result}: {readonly ask: PlacedAsk; readonly result: ReserveResult}, nowMs: number): readonly PlacementEffect[] {
+		if (result.kind === 'waits') {
+			return [];
+		}
+
 		const ctx = this.#context(nowMs);
 		if (result.kind === 'granted') {
 			return this.#mayStillStart(result.candidate, ctx)
 				? [this.#grant(grantId, ask, result.candidate, nowMs)]
-				: [...toPeers(this.#reservations.noteProgress(grantId, true, nowMs)), ...this.#retry(ask, ctx)];
+				: [...this.#tellOwners(this.#reservations.noteProgress(grantId, true, nowMs), nowMs), ...this.#retry(ask, ctx)];
 		}
 
 		return this.#retry(ask, ctx);
@@ -294,10 +306,11 @@
 	#onOverdue(nowMs: number): readonly PlacementEffect[] {
 		const effects: PlacementEffect[] = [];
 		const ctx = this.#context(nowMs);
-		for (const {id, ask, candidate} of this.#reservations.takeOverdue(nowMs)) {
-			if (candidate.fits && this.#mayStillStart(candidate, ctx)) {
+		for (const {id, ask, candidate, isGranted} of this.#reservations.takeOverdue(nowMs)) {
+			if ((isGranted || candidate.fits) && this.#mayStillStart(candidate, ctx)) {
 				effects.push(this.#grant(id, ask, candidate, nowMs));
 			} else {
+				effects.push(...this.#tellOwners(this.#reservations.noteProgress(id, true, nowMs), nowMs));
 				this.#queues.add(ask);
 			}
 		}
--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -217,15 +217,22 @@
 /**
  * Targets that are compared: all of them where loads are known exactly. Where they are
  * not, VMs that compare all would send to the same one until they hear of it, so each
- * compares the homes of the prompt and two others at random.
+ * compares the homes of the prompt and two others at random. A shared part that no engine
+ * is known to keep is prefilled at a home while one is open, so that the requests that come
+ * with it meet it there instead of having it prefilled at several engines.
  */
-const compared = (ask: PlacedAsk, keys: readonly number[], ctx: ChoiceContext): readonly PlacedTarget[] => {
+const compared = (ask: PlacedAsk, keys: readonly number[], {givesWay, newTokens}: {readonly givesWay: boolean; readonly newTokens: number}, ctx: ChoiceContext): readonly PlacedTarget[] => {
 	const left = untried(ask, ctx);
 	if (!ctx.isSampled) {
 		return left;
 	}
 
 	const homes = homesOf(keys, ctx).filter(target => left.includes(target));
+	const isOpen = (target: PlacedTarget): boolean => ctx.hasColdRoom(target) && !ctx.isClosed(target, {newTokens, givesWay});
+	if (ctx.isReserved && ask.prompt && ctx.copyableOf(keys) === 0 && homes.some(target => isOpen(target))) {
+		return homes;
+	}
+
 	return [...homes, ...twoAtRandom(left, ctx.random).filter(target => !homes.includes(target))];
 };
 
@@ -240,7 +247,7 @@
 	const keeper = ctx.isSampled ? assumedKeeper(keys, ctx.isReserved ? ctx.copyableOf(keys) : sharedTokens, ctx) : ask.prompt && keeperOf(ask.prompt, keys, ctx);
 	const isReserved = ctx.isReserved && ask.prompt !== undefined;
 	let best: Candidate | undefined;
-	for (const target of compared(ask, keys, ctx)) {
+	for (const target of compared(ask, keys, {givesWay, newTokens: ask.prompt?.tokens ?? 0}, ctx)) {
 		if (!ctx.hasColdRoom(target)) {
 			continue;
 		}
--- a/src/core/placement/target-ledger.ts
+++ b/src/core/placement/target-ledger.ts
@@ -6,6 +6,10 @@
  * requests send to the same engine within the time that word of its load takes. An engine
  * reads a few large prompts in the time that a first token may take, so even two VMs that
  * choose it at the same moment make both requests late.
+ *
+ * Prompts of one team arrive together and share large parts. An engine that gets a prompt
+ * while its shared part is being prefilled prefills the part once more, so the ledger keeps
+ * room for such a prompt and has it sent when the part has been prefilled.
  */
 import {type Prompt} from '../dispatch/types.js';
 import {type RoutedService} from '../routing/types.js';
@@ -21,6 +25,19 @@
 /** Milliseconds for which requests that were let in before this ledger began may still run. */
 const LEARN_MS = 6000;
 
+/** Tokens that are being prefilled from which a prompt waits for them: an engine takes about as long for them as the two messages that end the wait. */
+const MIN_AWAITED_TOKENS = 2000;
+/**
+ * How long a prompt waits for a part when no word comes that it was prefilled: the expected
+ * time with a margin, since sending too early costs the whole part and waiting too long only
+ * the request whose word was lost.
+ */
+const AWAIT_FACTOR = 1.5;
+const AWAIT_MARGIN_MS = 25;
+export const MAX_AWAIT_MS = 1000;
+/** Part of its latency target within which a prompt that waits for a part still starts when others are let in before it; the rest is for the way. */
+const AWAITED_START_SHARE = 0.8;
+
 /** Tokens per millisecond that an engine is taken to read until its first prompts were: a moderate one, since the ledger corrects it after a few. */
 const INITIAL_TOKENS_PER_MS = 40;
 
@@ -47,6 +64,8 @@
 	readonly keptTokens: number;
 	/** Milliseconds until the same request may fit; 0 when granted. */
 	readonly retryAfterMs: number;
+	/** When granted: milliseconds after which to send the request at the latest. More than 0 while a shared part of it is being prefilled; a second answer with 0 comes when that is done. */
+	readonly startAfterMs: number;
 	readonly running: number;
 	/** Prompt tokens that the target has not read, those of a granted wish included. */
 	readonly readingTokens: number;
@@ -54,6 +73,9 @@
 };
 
 type Entry = {
+	readonly wish: ReservationWish;
+	/** Id of the request that prefills a shared part of this one, which has not been sent yet. */
+	readonly waitsFor: string | undefined;
 	readonly keys: readonly number[];
 	/** Tokens that it adds to the target's memory. */
 	readonly addedTokens: number;
@@ -82,6 +104,7 @@
 	readonly #beganMs: number;
 	#readingTokens = 0;
 	#heldTokens = 0;
+	#released: string[] = [];
 
 	constructor(target: string, {capacityTokens, nowMs}: {readonly capacityTokens: () => number; readonly nowMs: number}) {
 		this.#target = target;
@@ -100,17 +123,21 @@
 		const {prompt, keys, nowMs} = {...wish, ...ctx};
 		this.#expire(nowMs);
 		const recorded = this.#prompts.keptTokens(this.#target, prompt, keys, nowMs);
-		const keptTokens = Math.max(recorded, wish.copiedTokens);
-		const newTokens = Math.max(0, prompt.tokens - keptTokens);
+		const known = Math.max(recorded, wish.copiedTokens);
+		const prefix = this.#prefixOf(wish, known);
+		const newTokens = Math.max(0, prompt.tokens - (prefix?.tokens ?? known));
 		const tokensPerMs = this.#rate.tokensPerMs();
+		// What waits for a part has not been sent, and is prefilled after what is sent now.
+		const aheadTokens = this.#readingTokens - (prefix ? 0 : this.#awaitingTokens());
 		const prediction: StartPrediction = {
-			waitedMs: wish.waitedMs, predictedMs: ((this.#readingTokens + newTokens) / tokensPerMs) + ALL_KNOWN.overheadMs, ownMs: newTokens / tokensPerMs,
+			waitedMs: wish.waitedMs, predictedMs: ((aheadTokens + newTokens) / tokensPerMs) + ALL_KNOWN.overheadMs, ownMs: newTokens / tokensPerMs,
 		};
 		const load = {running: this.#runningWith(ctx), readingTokens: this.#readingTokens, heldTokens: this.#heldTokens};
 		const terms = {givesWay: wish.givesWay, isExact: true};
-		const isGranted = hasRoom(wish, {slots: ctx.slots, load}, {service: ctx.service, ...terms}) && startsInTime(wish, prediction, terms);
+		const isGranted = hasRoom(wish, {slots: ctx.slots, load}, {service: ctx.service, ...terms}) && startsInTime(wish, prediction, terms)
+			&& (prefix !== undefined || ((this.#readingTokens + newTokens) / tokensPerMs) + ALL_KNOWN.overheadMs <= this.#leftToAwaitingMs(nowMs));
 		if (isGranted) {
-			this.#add(wish, newTokens, nowMs);
+			this.#add(wish, {newTokens, waitsFor: prefix?.id}, nowMs);
 		}
 
 		return {
@@ -118,13 +145,24 @@
 			isGranted,
 			keptTokens: recorded,
 			retryAfterMs: isGranted ? 0 : this.#retryAfterMs(wish, prediction, tokensPerMs),
+			startAfterMs: isGranted && prefix ? this.#startAfterMs(prefix.id, nowMs) : 0,
 			running: load.running,
 			readingTokens: this.#readingTokens,
 			predictedMs: prediction.predictedMs,
 		};
 	}
 
-	/** The first token has come: the prompt has been read, and is kept from now on. A part that is being read is read by each request that needs it. */
+	/** Answers to the requests that no longer wait for a shared part, by their ids. */
+	takeReleased(nowMs: number): ReadonlyMap<string, ReservationAnswer> {
+		const released = this.#released;
+		this.#released = [];
+		return new Map(released.flatMap(id => {
+			const entry = this.#entries.get(id);
+			return entry ? [[id, this.#releaseAnswer(entry, nowMs)] as const] : [];
+		}));
+	}
+
+	/** The first token has come: the prompt has been read, and is kept from now on. */
 	noteStarted(id: string, nowMs: number): void {
 		const entry = this.#entries.get(id);
 		if (entry?.isReading) {
@@ -132,31 +170,127 @@
 			this.#readingTokens -= entry.newTokens;
 			this.#entries.set(id, {...entry, isReading: false});
 			this.#rate.note(entry.backlogTokens, nowMs - entry.sinceMs);
+			this.#release(id, nowMs);
 		}
 	}
 
-	noteEnded(id: string): void {
+	noteEnded(id: string, nowMs: number): void {
 		const entry = this.#entries.get(id);
-		if (entry) {
+		if (!entry) {
+			return;
+		}
+
+		this.#entries.delete(id);
+		this.#heldTokens -= entry.heldTokens;
+		if (entry.isReading) {
+			this.#readingTokens -= entry.newTokens;
+			this.#release(id, nowMs);
+		}
+	}
+
+	/** The request that prefills most of the shared parts of a wish, beyond what is kept, and the tokens that will be kept then. */
+	#prefixOf({id: own, prompt: {parts}, keys}: ReservationWish, keptTokens: number): {readonly id: string; readonly tokens: number} | undefined {
+		let best: {readonly id: string; readonly tokens: number} | undefined;
+		for (const [id, entry] of this.#entries) {
+			if (!entry.isReading || id === own) {
+				continue;
+			}
+
+			let tokens = 0;
+			for (const [index, key] of keys.entries()) {
+				if (entry.keys[index] !== key) {
+					break;
+				}
+
+				tokens += parts[index]?.tokens ?? 0;
+			}
+
+			if (tokens >= keptTokens + MIN_AWAITED_TOKENS && tokens > (best?.tokens ?? 0)) {
+				best = {id, tokens};
+			}
+		}
+
+		return best;
+	}
+
+	#awaitingTokens(): number {
+		let tokens = 0;
+		for (const {waitsFor, newTokens} of this.#entries.values()) {
+			tokens += waitsFor === undefined ? 0 : newTokens;
+		}
+
+		return tokens;
+	}
+
+	/** Milliseconds within which all that was let in has to be prefilled, so that the prompts that wait for a part start in time: what is sent now is prefilled before them. */
+	#leftToAwaitingMs(nowMs: number): number {
+		const left = [...this.#entries.values()]
+			.filter(({waitsFor}) => waitsFor !== undefined)
+			.map(({sinceMs, wish: {targetLatencyMs, waitedMs}}) => sinceMs - nowMs + (targetLatencyMs * AWAITED_START_SHARE) - waitedMs);
+		return Math.min(Infinity, ...left);
+	}
+
+	#startAfterMs(prefillerId: string, nowMs: number): number {
+		const prefiller = this.#entries.get(prefillerId);
+		if (!prefiller) {
+			return 0;
+		}
+
+		const expectedMs = prefiller.sinceMs + (prefiller.backlogTokens / this.#rate.tokensPerMs()) + ALL_KNOWN.overheadMs;
+		return Math.min(MAX_AWAIT_MS, (Math.max(0, expectedMs - nowMs) * AWAIT_FACTOR) + AWAIT_MARGIN_MS);
+	}
+
+	/** Requests that waited for a part may be sent. When it was not prefilled after all, the first one prefills it and the others wait for that one. */
+	#release(prefillerId: string, nowMs: number): void {
+		const waiting = [...this.#entries].filter(([, {waitsFor}]) => waitsFor === prefillerId);
+		for (const [id, entry] of waiting) {
+			const {wish, keys} = entry;
+			const kept = Math.max(this.#prompts.keptTokens(this.#target, wish.prompt, keys, nowMs), wish.copiedTokens);
+			// One that is before it and waits itself would be waited for in a circle.
+			const next = waiting.find(([other, {keys: otherKeys}]) => other !== id && this.#entries.get(other)?.waitsFor === undefined && otherKeys.at(-1) === keys.at(-1));
+			const hasPart = kept + MIN_AWAITED_TOKENS > wish.prompt.parts.slice(0, keys.length).reduce((sum, {tokens}) => sum + tokens, 0);
+			if (next && !hasPart) {
+				this.#entries.set(id, {...entry, waitsFor: next[0]});
+				continue;
+			}
+
+			const newTokens = Math.max(0, wish.prompt.tokens - kept);
+			this.#readingTokens += newTokens - entry.newTokens;
 			this.#entries.delete(id);
-			this.#heldTokens -= entry.heldTokens;
-			this.#readingTokens -= entry.isReading ? entry.newTokens : 0;
+			this.#entries.set(id, {
+				...entry, newTokens, addedTokens: newTokens + wish.prompt.outputTokens, backlogTokens: this.#readingTokens - this.#awaitingTokens(), sinceMs: nowMs, waitsFor: undefined,
+			});
+			this.#released.push(id);
 		}
 	}
 
+	#releaseAnswer({wish, newTokens, backlogTokens, keys}: Entry, nowMs: number): ReservationAnswer {
+		return {
+			target: this.#target,
+			isGranted: true,
+			keptTokens: this.#prompts.keptTokens(this.#target, wish.prompt, keys, nowMs),
+			retryAfterMs: 0,
+			startAfterMs: 0,
+			running: this.running,
+			readingTokens: this.#readingTokens,
+			predictedMs: (Math.max(newTokens, backlogTokens) / this.#rate.tokensPerMs()) + ALL_KNOWN.overheadMs,
+		};
+	}
+
 	/** A ledger that has just begun knows nothing of what runs; the target's own word does. */
 	#runningWith({observedRunning, nowMs}: LedgerContext): number {
 		return nowMs < this.#beganMs + LEARN_MS ? Math.max(this.running, observedRunning) : this.running;
 	}
 
-	#add({id, prompt, keys}: ReservationWish, newTokens: number, nowMs: number): void {
+	#add(wish: ReservationWish, {newTokens, waitsFor}: Pick<Entry, 'newTokens' | 'waitsFor'>, nowMs: number): void {
+		const {id, prompt, keys} = wish;
 		// A VM that restarted counts its requests anew.
-		this.noteEnded(id);
+		this.noteEnded(id, nowMs);
 		const heldTokens = prompt.tokens + prompt.outputTokens;
 		this.#readingTokens += newTokens;
 		this.#heldTokens += heldTokens;
 		this.#entries.set(id, {
-			keys, addedTokens: newTokens + prompt.outputTokens, newTokens, heldTokens, backlogTokens: this.#readingTokens, sinceMs: nowMs, isReading: true,
+			wish, waitsFor, keys, addedTokens: newTokens + prompt.outputTokens, newTokens, heldTokens, backlogTokens: this.#readingTokens - this.#awaitingTokens(), sinceMs: nowMs, isReading: true,
 		});
 	}
 
@@ -174,7 +308,7 @@
 				return;
 			}
 
-			this.noteEnded(id);
+			this.noteEnded(id, nowMs);
 		}
 	}
 }
--- a/src/runtime/routing/reservation-messages.ts
+++ b/src/runtime/routing/reservation-messages.ts
@@ -31,6 +31,7 @@
 	service,
 	keptTokens: Math.round(answer.keptTokens),
 	retryAfterMs: Math.ceil(answer.retryAfterMs),
+	startAfterMs: Math.ceil(answer.startAfterMs),
 	readingTokens: Math.max(0, Math.round(answer.readingTokens)),
 	predictedMs: Math.round(answer.predictedMs),
 });
--- a/test/placement/_fleet-model.ts
+++ b/test/placement/_fleet-model.ts
@@ -40,6 +40,8 @@
 	/** Shared tokens that an engine read although another one kept them. */
 	readonly readAgain: number;
 	readonly readTokens: number;
+	/** Shared tokens that an engine read while another request or engine was reading them. */
+	readonly readBeside: number;
 	/** Part of the engines' reading time that was used. */
 	readonly busy: number;
 };
@@ -70,8 +72,10 @@
 	}]));
 	const keptAnywhere = new Set<number>();
 	const figures = {
-		asked: 0, inTime: 0, late: 0, refused: 0, readAgain: 0, readTokens: 0,
+		asked: 0, inTime: 0, late: 0, refused: 0, readAgain: 0, readTokens: 0, readBeside: 0,
 	};
+	/** Requests that read a shared part at this moment. */
+	const reading = new Map<number, number>();
 	const vms: ServicePlacement[] = [];
 
 	const tokensToRead = (prompt: Prompt, engine: Engine, source: Engine | undefined): number => {
@@ -82,6 +86,8 @@
 				tokens -= partTokens;
 			} else if (keptAnywhere.has(key)) {
 				figures.readAgain += partTokens;
+			} else if ((reading.get(key) ?? 0) > 0) {
+				figures.readBeside += partTokens;
 			}
 		}
 
@@ -97,6 +103,10 @@
 
 		const tokens = tokensToRead(prompt, engine, effect.because.copyFrom && engines.get(effect.because.copyFrom.id));
 		figures.readTokens += tokens;
+		for (const key of sharedKeys(prompt)) {
+			reading.set(key, (reading.get(key) ?? 0) + 1);
+		}
+
 		const readMs = Math.max(nowMs, engine.freeMs) + (tokens / READ_TOKENS_PER_MS);
 		engine.freeMs = readMs;
 		engine.waiting++;
@@ -105,6 +115,7 @@
 			engine.waiting--;
 			engine.running++;
 			for (const key of sharedKeys(prompt)) {
+				reading.set(key, (reading.get(key) ?? 1) - 1);
 				engine.kept.add(key);
 				keptAnywhere.add(key);
 			}
--- a/test/placement/reservations.test.ts
+++ b/test/placement/reservations.test.ts
@@ -40,8 +40,8 @@
 	ledger.reserve(wish('a', 9000), ctx(0));
 	ledger.noteStarted('a', 200);
 	t.is(ledger.reserve(wish('a', 9000, {id: 'again'}), ctx(300)).keptTokens, 4500);
-	ledger.noteEnded('a');
-	ledger.noteEnded('again');
+	ledger.noteEnded('a', 400);
+	ledger.noteEnded('again', 400);
 	t.is(ledger.running, 0);
 });
 
@@ -55,7 +55,7 @@
 	ledger.reserve(wish('a', 9000), ctx(0));
 	ledger.reserve(wish('a', 9000), ctx(1));
 	t.is(ledger.running, 1);
-	ledger.noteEnded('a');
+	ledger.noteEnded('a', 2);
 	const {readingTokens} = ledger.reserve(wish('b', 9000), ctx(2));
 	t.true(readingTokens <= 9000);
 });
@@ -164,6 +164,107 @@
 	}
 });
 
+test('a prompt whose shared part is being prefilled waits for it, with room of its own', t => {
+	const ledger = createLedger();
+	const first = ledger.reserve(wish('a', 9000), ctx(0));
+	t.like(first, {isGranted: true, startAfterMs: 0});
+	const second = ledger.reserve(wish('a', 9000, {id: 'b'}), ctx(1));
+	t.true(second.isGranted);
+	// 9,000 tokens at 40 a millisecond, and the first step.
+	t.true(second.startAfterMs > 245 && second.startAfterMs < 500, `${second.startAfterMs}`);
+	t.is(second.readingTokens, 9000 + 4500, 'its own tokens take capacity, the shared ones do not again');
+	t.is(ledger.takeReleased(2).size, 0);
+	ledger.noteStarted('a', 200);
+	t.like(ledger.takeReleased(200).get('b'), {isGranted: true, startAfterMs: 0, keptTokens: 4500});
+	t.is(ledger.takeReleased(200).size, 0);
+});
+
+test('when the request that prefills a part is gone, the next one prefills it and the others wait for that one', t => {
+	const ledger = createLedger();
+	ledger.reserve(wish('a', 6000), ctx(0));
+	for (const id of ['b', 'c']) {
+		t.true(ledger.reserve(wish('a', 6000, {id, targetLatencyMs: 2000}), ctx(1)).startAfterMs > 0);
+	}
+
+	ledger.noteEnded('a', 50);
+	t.deepEqual([...ledger.takeReleased(50).keys()], ['b']);
+	t.is(ledger.reserve(wish('other', 6000, {targetLatencyMs: 5000}), ctx(51)).readingTokens, 6000 + 1500 + 6000);
+	ledger.noteEnded('b', 60);
+	t.deepEqual([...ledger.takeReleased(60).keys()], ['c']);
+});
+
+test('a prompt that shares little with one that is being prefilled does not wait', t => {
+	const ledger = createLedger();
+	ledger.reserve(wish('a', 6000), ctx(0));
+	// The common part of 500 tokens.
+	t.is(ledger.reserve(wish('b', 6000, {targetLatencyMs: 2000}), ctx(1)).startAfterMs, 0);
+});
+
+const grantedLater = {
+	target: 't1', isGranted: true, keptTokens: 0, retryAfterMs: 0, startAfterMs: 300, running: 0, readingTokens: 0, predictedMs: 10,
+};
+
+test('a request that waits for a part is sent on the owner\'s word, once, however often that comes', t => {
+	const {placement, effect} = askingVm();
+	const id = effect.message.kind === 'request' ? effect.message.wish.id : '';
+	const told = (startAfterMs: number, atMs: number) => placement.handle({
+		kind: 'peer', from: effect.vm, message: {kind: 'answer', id, answer: {...grantedLater, target: targetOf(effect), startAfterMs}},
+	}, atMs);
+	t.deepEqual(told(300, 4), []);
+	t.deepEqual(told(300, 5), [], 'a datagram that comes twice');
+	t.deepEqual(placement.handle({kind: 'tick'}, 60), [], 'its owner has answered');
+	t.is(told(0, 100)[0]?.kind, 'grant');
+	t.deepEqual(told(0, 101), [], 'a grant that is used is not given back');
+	t.deepEqual(placement.handle({kind: 'tick'}, 400), []);
+});
+
+test('a request that waits for a part is sent at the latest when the part should be there, also when its owner is gone', t => {
+	const {placement, effect, wanted} = askingVm();
+	const id = effect.message.kind === 'request' ? effect.message.wish.id : '';
+	placement.handle({
+		kind: 'peer', from: effect.vm, message: {kind: 'answer', id, answer: {...grantedLater, target: targetOf(effect)}},
+	}, 4);
+	t.deepEqual(placement.handle({kind: 'tick'}, 303), []);
+	const [grant] = placement.handle({kind: 'tick'}, 304);
+	t.like(grant, {kind: 'grant', grantId: id, ask: {requestId: wanted.requestId}});
+});
+
+test('a caller that leaves while its request waits for a part gives the room back', t => {
+	const {placement, effect, wanted} = askingVm();
+	const id = effect.message.kind === 'request' ? effect.message.wish.id : '';
+	placement.handle({
+		kind: 'peer', from: effect.vm, message: {kind: 'answer', id, answer: {...grantedLater, target: targetOf(effect)}},
+	}, 4);
+	t.like(placement.handle({kind: 'withdraw', requestId: wanted.requestId}, 50)[0], {
+		kind: 'tell-peer', vm: effect.vm, message: {kind: 'progress', id, hasEnded: true},
+	});
+	t.deepEqual(placement.handle({kind: 'tick'}, 400), []);
+});
+
+const teamBursts: Omit<FleetLoad, 'seed'> = {
+	vms: 58,
+	engines: 16,
+	requestsPerS: 200,
+	forMs: 3000,
+	latencyTargetMs: 800,
+	// Each subject is asked for by some eight requests within 40 ms, and not again.
+	promptOf: (draw, index) => ({
+		model: 'm',
+		parts: [{id: 'front', tokens: 1000}, {id: `subject-${Math.floor(index / 8)}`, tokens: 8000}, {id: `own-${index}`, tokens: 1500 + Math.floor(draw * 1000)}],
+		tokens: 11_000,
+		outputTokens: 100,
+	}),
+};
+
+test('prompts of one subject that come together wait for its prefill, and most of them are in time', t => {
+	for (const seed of [1, 2, 3]) {
+		const {asked, inTime, late, readTokens, readBeside} = runFleet({...teamBursts, seed});
+		t.true(inTime >= asked * 0.62, `seed ${seed}: ${inTime} of ${asked} in time`);
+		t.true(late <= asked * 0.02, `seed ${seed}: ${late} of ${asked} late`);
+		t.true(readBeside <= readTokens * 0.52, `seed ${seed}: ${readBeside} of ${readTokens} tokens were being prefilled already`);
+	}
+});
+
 test('reservations that are answered at the same moment keep to what a cold target bears', t => {
 	let sent = 0;
 	let asked = 0;
@@ -176,7 +277,7 @@
 		const later = ids.flatMap((id, index) => placement.handle({
 			kind: 'peer', from: 'vm-x', message: {
 				kind: 'answer', id, answer: {
-					target: 't1', isGranted: true, keptTokens: 0, retryAfterMs: 0, running: 0, readingTokens: 0, predictedMs: 10,
+					target: 't1', isGranted: true, keptTokens: 0, retryAfterMs: 0, startAfterMs: 0, running: 0, readingTokens: 0, predictedMs: 10,
 				},
 			},
 		}, 2 + index));
--- a/test/routing/reservation-messages.test.ts
+++ b/test/routing/reservation-messages.test.ts
@@ -19,7 +19,7 @@
 	}),
 });
 const answer = fc.record({
-	target: targetId, isGranted: fc.boolean(), keptTokens: uint32, retryAfterMs: uint32, running: uint32, readingTokens: uint32, predictedMs: uint32,
+	target: targetId, isGranted: fc.boolean(), keptTokens: uint32, retryAfterMs: uint32, startAfterMs: uint32, running: uint32, readingTokens: uint32, predictedMs: uint32,
 });
 const message: fc.Arbitrary<PeerMessage> = fc.oneof(
 	fc.record({kind: fc.constant('request' as const), wish}),
