--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -160,17 +160,17 @@
 
 			case 'withdraw': {
 				this.#queue.remove(message.requestId);
-				return toPeers(this.#reservations.withdraw(message.requestId));
+				return this.#tellOwners(this.#reservations.withdraw(message.requestId), nowMs);
 			}
 
 			case 'end': {
 				this.#onEnd(message, nowMs);
-				return toPeers(this.#reservations.noteProgress(message.grantId, true, nowMs));
+				return this.#tellOwners(this.#reservations.noteProgress(message.grantId, true, nowMs), nowMs);
 			}
 
 			case 'observe': {
 				this.#onObserve(message, nowMs);
-				return message.observation.kind === 'first-token' ? toPeers(this.#reservations.noteProgress(message.grantId, false, nowMs)) : [];
+				return message.observation.kind === 'first-token' ? this.#tellOwners(this.#reservations.noteProgress(message.grantId, false, nowMs), nowMs) : [];
 			}
 
 			case 'sent-elsewhere': {
@@ -248,6 +248,10 @@
 				return toPeers([result.outgoing]);
 			}
 
+			if (result.kind === 'waits') {
+				return [];
+			}
+
 			if (result.kind === 'unowned') {
 				return undefined;
 			}
@@ -256,6 +260,11 @@
 		return undefined;
 	}
 
+	/** Messages of reservations, of which some may be to this VM. */
+	#tellOwners(outgoing: readonly Outgoing[], nowMs: number): readonly PlacementEffect[] {
+		return outgoing.flatMap(one => one.vm === this.#options.vm ? this.#onPeer(one.vm, one.message, nowMs) : toPeers([one]));
+	}
+
 	#onPeer(from: string, message: PeerMessage, nowMs: number): readonly PlacementEffect[] {
 		switch (message.kind) {
 			case 'request': {
@@ -264,8 +273,7 @@
 			}
 
 			case 'progress': {
-				this.#reservations.onProgress(message, nowMs);
-				return [];
+				return this.#tellOwners(this.#reservations.onProgress(message, nowMs), nowMs);
 			}
 
 			case 'answer': {
@@ -280,6 +288,10 @@
 	}
 
 	#onAnswered(grantId: string, {ask, result}: {readonly ask: PlacedAsk; readonly result: ReserveResult}, nowMs: number): readonly PlacementEffect[] {
+		if (result.kind === 'waits') {
+			return [];
+		}
+
 		const ctx = this.#context(nowMs);
 		if (result.kind !== 'granted') {
 			return this.#retry(ask, ctx);
@@ -289,7 +301,7 @@
 			return [this.#grant(grantId, ask, result.candidate, nowMs)];
 		}
 
-		return [...toPeers(this.#reservations.noteProgress(grantId, true, nowMs)), ...this.#retry(ask, ctx)];
+		return [...this.#tellOwners(this.#reservations.noteProgress(grantId, true, nowMs), nowMs), ...this.#retry(ask, ctx)];
 	}
 
 	/** Tries again, unless others that wait go before it meanwhile. */
@@ -314,10 +326,11 @@
 	#onOverdue(nowMs: number): readonly PlacementEffect[] {
 		const effects: PlacementEffect[] = [];
 		const ctx = this.#context(nowMs);
-		for (const {id, ask, candidate} of this.#reservations.takeOverdue(nowMs)) {
-			if (candidate.fits && this.#mayStillStart(candidate, ctx) && !this.#queue.isPastPatience(ask, nowMs)) {
+		for (const {id, ask, candidate, isGranted} of this.#reservations.takeOverdue(nowMs)) {
+			if ((isGranted || candidate.fits) && this.#mayStillStart(candidate, ctx) && !this.#queue.isPastPatience(ask, nowMs)) {
 				effects.push(this.#grant(id, ask, candidate, nowMs));
 			} else {
+				effects.push(...this.#tellOwners(this.#reservations.noteProgress(id, true, nowMs), nowMs));
 				this.#queue.add(ask, nowMs);
 			}
 		}
