Act on no permission that expired while the process was stopped

Cause, each shown by a test that failed on the code before: - a grant for a cold target was good for 1 s, but its rate is counted over 1.1 s from the grant, so a stop between the grant and the first byte let two windows' requests out in one second; - a repeat that the budget allowed was sent however long after the count had left its window; - requests that arrived during a stop were placed on news from before it, and a call that waited for changes brought the first one only: targets that had announced that they leave got requests, and the VM said that it was ready; - a stop of more than 3 s was taken for an absence of the store, so targets that had gone were kept for 2.5 s more; - VMs whose rows were not looked at for 20 s (a stop, or the store away) no longer counted, so a VM took the whole cold limit and retry slack for its own.

Change: grants for cold targets hold 100 ms; the budget's leave 1 s, then it is asked again, and without leave the request is refused; after 1 s without a look the store is asked anew with a call that does not wait, and until its answer, for 1 s at most, nothing is granted or sent and the VM is not ready; VMs' rows age by looks that found them unchanged.

Not covered: reports of other VMs that waited in the socket during a stop are still taken for fresh; a VM whose own row lapsed at the others uses its old part of the cold limit at once.

--- a/src/core/attempt/attempt.ts
+++ b/src/core/attempt/attempt.ts
@@ -18,6 +18,8 @@
 /** Bounds of the random delay before a request is asked for again. */
 const RETRY_BASE_MS = 20;
 const RETRY_MAX_MS = 1000;
+/** Milliseconds for which the budget's leave for a repeat holds: it counts repeats in a window, which goes on while the process is paused. */
+const RETRY_VALID_MS = 1000;
 /** What Retry-After says when targets keep refusing. */
 const RETRY_AFTER_MS = 1000;
 
@@ -75,6 +77,27 @@
 const retryDelayMs = (retries: number, random: () => number): number =>
 	random() * Math.min(RETRY_MAX_MS, RETRY_BASE_MS * (2 ** retries));
 
+/** Whether the budget was asked for this repeat. */
+const isBudgeted = (reason: RetryReason, spec: AttemptSpec): boolean => {
+	switch (reason) {
+		case 'failed':
+		case 'silent':
+		case 'error-answer': {
+			return true;
+		}
+
+		case 'overloaded':
+		case 'fenced': {
+			return spec.budgetsDeclined === true;
+		}
+
+		case 'not-connected':
+		case 'grant-expired': {
+			return false;
+		}
+	}
+};
+
 /**
  * Asks for another grant, or refuses at once when that cannot help. The call before it
  * has run nothing, unless `mayHaveRun` says so.
@@ -91,7 +114,7 @@
 	}
 
 	return {
-		state: {...queued, retries: state.retries + 1},
+		state: {...queued, retries: state.retries + 1, ...(isBudgeted(reason, spec) && {retryTakenMs: nowMs})},
 		effects: [...before, {kind: 'ask', delayMs, retry: reason}],
 	};
 };
@@ -123,9 +146,16 @@
 		return askAgain('grant-expired', [{kind: 'drop-call'}, ...endGrant(state, nowMs, unsent)])(state, spec, nowMs);
 	}
 
+	const {retryTakenMs, ...sent} = state;
+	const hasLapsed = retryTakenMs !== undefined && nowMs - retryTakenMs > RETRY_VALID_MS;
+	if (hasLapsed && !spec.takeRetry(nowMs)) {
+		const before: readonly AttemptEffect[] = [{kind: 'drop-call'}, ...endGrant(state, nowMs, unsent)];
+		return refuse(withoutGrant(state, 'queued'), new RefusalError(TargetUnavailable, {tries: state.retries}, {retryAfterMs: RETRY_AFTER_MS}), before);
+	}
+
 	return {
 		state: {
-			...state, kind: 'sent', sentAtMs: nowMs, sends: state.sends + 1,
+			...sent, kind: 'sent', sentAtMs: nowMs, sends: state.sends + 1,
 		}, effects: [{kind: 'write'}],
 	};
 };
--- a/src/core/attempt/types.ts
+++ b/src/core/attempt/types.ts
@@ -44,6 +44,8 @@
 	readonly mayHaveRun: boolean;
 	/** Asks made after the first one. */
 	readonly retries: number;
+	/** When the budget allowed the repeat that has not been sent yet, if it was asked. */
+	readonly retryTakenMs?: number;
 	/** Whether a failure that a target answered is at hand while another target is looked for. */
 	readonly holdsError: boolean;
 	/** Times that a first byte went to a target. */
--- a/src/core/news/news-follower.ts
+++ b/src/core/news/news-follower.ts
@@ -26,6 +26,8 @@
 const SHORT_WAIT_MS = 2500;
 /** Milliseconds of the other calls, a little less than what the store allows. */
 const LONG_WAIT_MS = 28_000;
+/** Milliseconds that the first call after a pause of the process waits: its answer tells that nothing changed. */
+const RESUMED_WAIT_MS = 1;
 /**
  * VMs whose calls are short, on average. Which ones they are is drawn anew by each VM as
  * often as a long call ends, whatever its calls did meanwhile, so that their number holds;
@@ -54,6 +56,8 @@
 	#nextCallMs = -Infinity;
 	#behindSinceMs: number | undefined;
 	#droppedMs = -Infinity;
+	/** The first call after a pause of the process, until one since then has an answer. */
+	#resumedCall: number | undefined;
 	/** Decides whether calls are short until it is drawn again. */
 	#role = {draw: 0, untilMs: -Infinity};
 
@@ -71,6 +75,11 @@
 		return this.#covered;
 	}
 
+	/** Whether the table was heard of since the last pause of the process. */
+	get isCurrent(): boolean {
+		return this.#resumedCall === undefined;
+	}
+
 	handle(message: FollowMessage, nowMs: number): readonly FollowEffect[] {
 		switch (message.kind) {
 			case 'start': {
@@ -105,6 +114,12 @@
 				return this.#onHeard(message.version, nowMs);
 			}
 
+			case 'resumed': {
+				const dropped = this.#open;
+				this.#resumedCall = this.#calls + 1;
+				return [...(dropped === undefined ? [] : [{kind: 'drop', call: dropped} as const]), ...this.#call(nowMs)];
+			}
+
 			case 'tick': {
 				return this.#onTick(nowMs);
 			}
@@ -118,6 +133,7 @@
 
 	#onAnswer(message: Extract<FollowMessage, {kind: 'read' | 'changes'}>, nowMs: number): readonly FollowEffect[] {
 		this.#failures = 0;
+		this.#resumedCall = undefined;
 		this.#covered = Math.max(this.#covered ?? 0, message.version);
 		const changedAt = message.kind === 'changes' ? message.changedAt : undefined;
 		this.#changedAt = Math.max(this.#changedAt, changedAt ?? 0);
@@ -184,7 +200,7 @@
 		return this.#covered === undefined
 			? [{kind: 'read', call: this.#open}]
 			: [{
-				kind: 'wait', call: this.#open, afterVersion: this.#covered, waitMs: this.#waitMs(nowMs),
+				kind: 'wait', call: this.#open, afterVersion: this.#covered, waitMs: this.#resumedCall === undefined ? this.#waitMs(nowMs) : RESUMED_WAIT_MS,
 			}];
 	}
 }
--- a/src/core/news/types.ts
+++ b/src/core/news/types.ts
@@ -17,6 +17,8 @@
 	| {readonly kind: 'failed'; readonly call: number}
 	/** Another VM knows of a change. */
 	| {readonly kind: 'heard'; readonly version: number}
+	/** The process was paused: what is under way may have been answered long ago. */
+	| {readonly kind: 'resumed'}
 	| {readonly kind: 'tick'};
 
 export type FollowEffect =
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -20,6 +20,11 @@
 const TICK_MS = 5;
 /** Milliseconds for which a grant may be used. */
 const GRANT_MS = 1000;
+/**
+ * Milliseconds for which a grant for a cold target may be used: its rate is counted at the
+ * grant, over a window that is longer than a second by this.
+ */
+const COLD_GRANT_MS = 100;
 /** Target latency of requests that name none. */
 const DEFAULT_LATENCY_MS = 1000;
 
@@ -35,6 +40,8 @@
 	readonly loads: FleetLoads;
 	/** Uniform in [0, 1). */
 	readonly random: () => number;
+	/** Whether what is known of the fleet is as of now; false after a pause of the process. */
+	readonly isCurrent?: () => boolean;
 	/** Whether this VM is behind its work. */
 	readonly isBehind: () => boolean;
 	/** Sends a message to another VM; it may be lost. */
@@ -70,7 +77,7 @@
 	readonly reject: (err: RefusalError) => void;
 };
 
-export const createPlacementScheduler = ({vm, dataCentre, bounds, clock, view, vms, log, loads, random, isBehind, tellPeer}: PlacementSchedulerOptions): PlacementScheduler => {
+export const createPlacementScheduler = ({vm, dataCentre, bounds, clock, view, vms, log, loads, random, isCurrent = () => true, isBehind, tellPeer}: PlacementSchedulerOptions): PlacementScheduler => {
 	const placements = new Map<string, ServicePlacement>();
 	const waiters = new Map<string, Waiter>();
 	const serviceOfGrant = new Map<string, string>();
@@ -156,8 +163,16 @@
 		const granted = new Promise<Grant>((resolve, reject) => {
 			waiters.set(placed.requestId, {resolve, reject});
 		});
+		const tellWhenCurrent = (): void => {
+			if (isCurrent()) {
+				tell(service, {kind: 'ask', ask: placed});
+			} else if (waiters.has(placed.requestId)) {
+				setTimeout(tellWhenCurrent, TICK_MS);
+			}
+		};
+
 		if (placements.has(service)) {
-			tell(service, {kind: 'ask', ask: placed});
+			tellWhenCurrent();
 		} else {
 			perform(service, [{
 				kind: 'reject', ask: placed, reason: 'no-target', retryAfterMs: DEFAULT_LATENCY_MS, givesWay: false,
@@ -181,8 +196,14 @@
 		}),
 		isValid({target: id, expiresAtMs}) {
 			const target = view.targets().get(id);
-			return target !== undefined && !target.isDraining && !view.isOut(target.dataCentre) && clock.nowMs() < expiresAtMs
-				&& placements.get(target.service)?.known.isOpen(id, clock.nowMs()) === true;
+			const nowMs = clock.nowMs();
+			if (!isCurrent() || target === undefined || target.isDraining || view.isOut(target.dataCentre)) {
+				return false;
+			}
+
+			const known = placements.get(target.service)?.known;
+			const endsMs = known?.get(id)?.isCold(nowMs) ? expiresAtMs - GRANT_MS + COLD_GRANT_MS : expiresAtMs;
+			return nowMs < endsMs && known?.isOpen(id, nowMs) === true;
 		},
 		end({grantId, target}, result) {
 			const service = serviceOfGrant.get(grantId);
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -4,6 +4,7 @@
 import polka from 'polka';
 import {createCostEstimator} from '../../core/admission/cost-estimator.js';
 import {createLoadShed} from '../../core/admission/load-shed.js';
+import {createPauseWatch} from '../../core/pause-watch.js';
 import {memoryBounds} from '../../core/memory/held-memory.js';
 import {createTeamGate} from '../../core/admission/team-gate.js';
 import {type Clock} from '../../core/clock.js';
@@ -144,8 +145,17 @@
 	});
 	const peers: {exchange?: LoadExchange} = {};
 	const shed = createLoadShed({behindMs: limits.behindMs, random});
+	const pauses = createPauseWatch(clock.nowMs());
+	const isCurrent = (): boolean => {
+		if (pauses.look(clock.nowMs())) {
+			source.onResumed();
+		}
+
+		return source.isCurrent();
+	};
+
 	const scheduler = createPlacementScheduler({
-		vm, dataCentre, bounds, clock, view, vms, log, loads, random,
+		vm, dataCentre, bounds, clock, view, vms, log, loads, random, isCurrent,
 		isBehind: () => shed.share() > 0,
 		tellPeer(peer, service, message) {
 			peers.exchange?.tell(peer, service, message);
@@ -154,6 +164,7 @@
 	const loopDelay = startLoopDelay({
 		clock, log, metrics, heard: () => loads.heard,
 		onLook(delayMs) {
+			isCurrent();
 			shed.noteDelay(delayMs);
 			metrics.shedShare.set(shed.share());
 		},
@@ -207,7 +218,7 @@
 		});
 	}
 
-	const isReady = () => !isLeaving && view.isComplete() && !shed.isOverloaded();
+	const isReady = () => !isLeaving && view.isComplete() && isCurrent() && !shed.isOverloaded();
 	const statusServers = await startStatus(options, {isReady, loads, held});
 	const address = await listenForCallers(servers, options.callers);
 	log.info('started', {vm, data_centre: dataCentre, callers: address});
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -65,6 +65,10 @@
 	readonly stop: () => Promise<void>;
 	/** Milliseconds since the source was last heard. */
 	readonly newsAgeMs: () => number;
+	/** Whether the news is as of now: false from the end of a pause of the process until the source was asked, or could not be. */
+	readonly isCurrent: () => boolean;
+	/** The process was paused. */
+	readonly onResumed: () => void;
 	/** What the other VMs are told of how new the news here is. */
 	readonly word: () => NewsWord;
 	/** Takes in what another VM said of its news. */
--- /dev/null
+++ b/test/routing/after-a-pause.test.ts
@@ -0,0 +1,216 @@
+/**
+ * Guards against acting on a permission that expired while the process was stopped: grants for
+ * cold targets, leave for repeats, news of the fleet, the number of VMs, readiness.
+ */
+import {setTimeout as delay} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {request} from 'undici';
+import {createFleetSource} from '../../platform/fleet-source.js';
+import {createStoreClient} from '../../platform/store-client.js';
+import {handleAttempt, initialAttempt} from '../../src/core/attempt/attempt.js';
+import {type AttemptMessage, type AttemptSpec, type AttemptState} from '../../src/core/attempt/types.js';
+import {type Grant} from '../../src/core/dispatch/types.js';
+import {FleetLoads} from '../../src/core/placement/fleet-loads.js';
+import {silentLog} from '../../src/runtime/observe/log.js';
+import {createMetrics} from '../../src/runtime/observe/metrics.js';
+import {createFleetView} from '../../src/runtime/routing/fleet-view.js';
+import {createPlacementScheduler} from '../../src/runtime/routing/placement-scheduler.js';
+import {startWorksStore} from '../../standins/works/works-store.js';
+import {startWorksTarget} from '../../standins/works/works-target.js';
+import {startRouterProcess} from '../memory/_router-process.js';
+import {
+	ask, bounds, modelService, target,
+} from '../placement/_service.js';
+import {HOST, KEY, until} from '../platform/_platform.js';
+
+const STOP_MS = 4000;
+
+/** A scheduler of one service with one target, by a clock of the test's own. */
+const startScheduler = (coldRemainingMs: number) => {
+	let nowMs = 0;
+	let isCurrent = true;
+	const clock = {nowMs: () => nowMs};
+	const view = createFleetView(silentLog);
+	const scheduler = createPlacementScheduler({
+		vm: 'vm-1', dataCentre: 'dc-a', bounds, clock, view, vms: () => ['vm-1'], log: silentLog, loads: new FleetLoads(), random: () => 0.5,
+		isBehind: () => false, tellPeer: () => undefined, isCurrent: () => isCurrent,
+	});
+	const config = {
+		version: 1, routes: [], services: new Map([['tariff', modelService]]), teamsByKey: undefined,
+		limits: {
+			headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+		},
+	};
+	for (const news of [{kind: 'config', config} as const, {kind: 'all-targets', targets: [target('m1', {coldRemainingMs})]} as const]) {
+		for (const change of view.apply(news)) {
+			scheduler.onNews(change);
+		}
+	}
+
+	return {
+		scheduler,
+		after(ms: number) {
+			nowMs += ms;
+		},
+		setCurrent(value: boolean) {
+			isCurrent = value;
+		},
+	};
+};
+
+test('a grant for a cold target holds no longer than its window is longer than a second', async t => {
+	const {scheduler, after} = startScheduler(60_000);
+	t.teardown(scheduler.stop);
+	const grant = await scheduler.ask(ask('a', 0)).granted;
+	t.true(scheduler.isValid(grant));
+	after(90);
+	t.true(scheduler.isValid(grant));
+	after(20);
+	t.false(scheduler.isValid(grant));
+});
+
+test('a grant for a warm target holds for a second, also over a pause', async t => {
+	const {scheduler, after} = startScheduler(0);
+	t.teardown(scheduler.stop);
+	const grant = await scheduler.ask(ask('a', 0)).granted;
+	after(999);
+	t.true(scheduler.isValid(grant));
+	after(1);
+	t.false(scheduler.isValid(grant));
+});
+
+test('nothing is granted or sent on news from before a pause', async t => {
+	const {scheduler, setCurrent} = startScheduler(0);
+	t.teardown(scheduler.stop);
+	const early = await scheduler.ask(ask('a', 0)).granted;
+	setCurrent(false);
+	t.false(scheduler.isValid(early));
+	const {granted} = scheduler.ask(ask('a', 0));
+	t.is(await Promise.race([granted, delay(50, 'waits')]), 'waits');
+	setCurrent(true);
+	const late = await granted;
+	t.true(scheduler.isValid(late));
+});
+
+test('the budget\'s leave for a repeat lapses after a second', t => {
+	const grant: Grant = {
+		grantId: 'g', target: 't', address: '127.0.0.1:1', epoch: 0n, instance: 't', expiresAtMs: Infinity,
+	};
+	const runRepeat = (sentMs: number, leaves: number) => {
+		let taken = 0;
+		const spec: AttemptSpec = {
+			requestId: 'r', service: 's', repeat: 'safe', startByMs: 60_000, needsClaim: false, random: () => 0, maxTargets: 2, budgetsDeclined: true,
+			takeRetry() {
+				taken++;
+				return taken <= leaves;
+			},
+		};
+		const messages: ReadonlyArray<readonly [AttemptMessage, number]> = [
+			[{kind: 'begin'}, 0],
+			[{kind: 'granted', grant}, 0],
+			[{kind: 'writing', valid: true}, 0],
+			[{kind: 'failed', reason: 'link-broken', cost: 0}, 10],
+			[{kind: 'granted', grant}, 10],
+			[{kind: 'writing', valid: true}, sentMs],
+		];
+		let state: AttemptState = initialAttempt;
+		for (const [message, nowMs] of messages) {
+			({state} = handleAttempt(state, message, spec, nowMs));
+		}
+
+		return {taken, kind: state.kind};
+	};
+
+	t.deepEqual(runRepeat(900, 1), {taken: 1, kind: 'sent'});
+	t.deepEqual(runRepeat(4000, 2), {taken: 2, kind: 'sent'}, 'asked for again');
+	t.deepEqual(runRepeat(4000, 1), {taken: 2, kind: 'ended'}, 'none left');
+});
+
+test('VMs whose rows could not be looked at meanwhile are still counted, so that shares are not taken for one\'s own', async t => {
+	const store = await startWorksStore();
+	for (const vm of ['edge-2', 'edge-3']) {
+		store.put('vms', vm, {exchange: '127.0.0.1:9', round: 1});
+	}
+
+	let pausedMs = 0;
+	const clock = {nowMs: () => performance.now() + pausedMs};
+	const source = createFleetSource({
+		client: createStoreClient({address: store.address, clock, metrics: createMetrics()}),
+		vm: 'edge-1', exchange: '127.0.0.1:2', clock, log: silentLog, drainMs: 2000, random: () => 0.5,
+	});
+	source.start(() => undefined);
+	t.teardown(async () => {
+		await source.stop();
+		await store.close();
+	});
+	await until(t, () => source.vms().length === 3, 'VMs seen');
+	pausedMs = 60_000;
+	t.is(source.vms().length, 3);
+});
+
+type Put = (id: string, changes: Readonly<Record<string, unknown>>) => void;
+
+/** A router process, stopped while `change` happens and requests arrive; resolves to the arrivals at `l1` from then on. */
+const arrivalsAfterStop = async (t: ExecutionContext, change: (put: Put, drop: (id: string) => void) => Promise<void>) => {
+	const [l1, l2] = await Promise.all([startWorksTarget({id: 'l1', stream: false}), startWorksTarget({id: 'l2', stream: false})]);
+	t.teardown(async () => Promise.all([l1.close(), l2.close()]));
+	const router = await startRouterProcess(t, {targets: {l1: l1.address, l2: l2.address}});
+	const call = async (index: number): Promise<number> => {
+		const {statusCode, body} = await request(`http://${router.callers}/look/${index}`, {
+			headers: {
+				host: HOST, 'x-api-key': KEY, 'x-attempt-id': `a${index}`, 'x-deadline-ms': '9000',
+			},
+		});
+		await body.dump();
+		return statusCode;
+	};
+
+	await Promise.all(Array.from({length: 20}, async (_, index) => call(index)));
+	t.true(l1.arrivals().length > 0);
+	const put: Put = (id, changes) => {
+		router.store.put('servers', id, {
+			service: 'ledger', address: id === 'l1' ? l1.address : l2.address, zone: 'dc-a', version: 'v1', slots: 400, state: 'ready', cold_remaining_ms: 0, sequence: 2, born: 1000, ...changes,
+		});
+	};
+
+	router.signal('SIGSTOP');
+	await delay(100);
+	await change(put, id => {
+		router.store.drop('servers', id);
+	});
+	const calls = Array.from({length: 40}, async (_, index) => call(100 + index));
+	const ready = request(`http://${router.ready}/v1/readyz`).then(async ({statusCode, body}) => {
+		await body.dump();
+		return statusCode;
+	});
+	await delay(200);
+	const before = l1.arrivals().length;
+	router.signal('SIGCONT');
+	const statuses = await Promise.all(calls);
+	await Promise.all(Array.from({length: 20}, async (_, index) => call(200 + index)));
+	return {
+		arrivals: l1.arrivals().length - before, statuses: new Set(statuses), ready: await ready,
+	};
+};
+
+test.serial('a target that announced during a stop that it leaves gets nothing afterwards, and the VM is not ready before it knows', async t => {
+	const {arrivals, statuses, ready} = await arrivalsAfterStop(t, async put => {
+		// The first change ends the call that waits; the second one is known by asking anew only.
+		put('l2', {sequence: 3});
+		await delay(STOP_MS / 2);
+		put('l1', {state: 'draining'});
+		await delay(STOP_MS / 2);
+	});
+	t.is(arrivals, 0);
+	t.deepEqual(statuses, new Set([200]));
+	t.is(ready, 503);
+});
+
+test.serial('a target that went during a stop gets nothing afterwards: the store was not away, this VM was', async t => {
+	const {arrivals, statuses} = await arrivalsAfterStop(t, async (_put, drop) => {
+		drop('l1');
+		await delay(STOP_MS);
+	});
+	t.is(arrivals, 0);
+	t.deepEqual(statuses, new Set([200]));
+});
