--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -6,6 +6,7 @@
 import {createIngress} from '../../core/admission/ingress.js';
 import {createLoadShed} from '../../core/admission/load-shed.js';
 import {createRefusalSummary} from '../../core/admission/refusal-summary.js';
+import {createPauseWatch} from '../../core/pause-watch.js';
 import {memoryBounds} from '../../core/memory/held-memory.js';
 import {createTeamGate} from '../../core/admission/team-gate.js';
 import {type Clock} from '../../core/clock.js';
@@ -157,8 +158,17 @@
 	const report = createIngressReport({
 		log, metrics, ingress, refusals,
 	});
+	const pauses = createPauseWatch(clock.nowMs());
+	const isCurrent = (): boolean => {
+		if (pauses.look(clock.nowMs())) {
+			source.onResumed();
+		}
+
+		return source.isCurrent();
+	};
+
 	const scheduler = createPlacementScheduler({
-		vm, dataCentre, bounds, clock, view, vms, log, loads, random,
+		vm, dataCentre, bounds, clock, view, vms, log, loads, random, isCurrent,
 		isBehind: () => shed.share() > 0,
 		tellPeer(peer, service, message) {
 			peers.exchange?.tell(peer, service, message);
@@ -168,6 +178,7 @@
 		clock, log, metrics, heard: () => loads.heard,
 		onLook(delayMs) {
 			const nowMs = clock.nowMs();
+			isCurrent();
 			shed.noteDelay(delayMs);
 			ingress.tick(nowMs);
 			metrics.shedShare.set(shed.share());
@@ -229,7 +240,7 @@
 		});
 	}
 
-	const isReady = () => !isLeaving && view.isComplete() && !(ingress.hasBudget ? ingress : shed).isOverloaded();
+	const isReady = () => !isLeaving && view.isComplete() && isCurrent() && !(ingress.hasBudget ? ingress : shed).isOverloaded();
 	const statusServers = await startStatus(options, {isReady, loads, held});
 	const address = await listenForCallers(servers, options.callers);
 	log.info('started', {vm, data_centre: dataCentre, callers: address});
