--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -44,6 +44,8 @@
 	readonly tried: readonly string[];
 	/** Whether the caller has part of the answer and waits for its next event. */
 	readonly isResumed: boolean;
+	/** Name of the route, by which versions of a service are compared. */
+	readonly route?: string;
 };
 
 /** What an answer says of its target's load. */
--- /dev/null
+++ b/src/core/rollout/coordinator-choice.ts
@@ -0,0 +1,68 @@
+/**
+ * Which VM coordinates the roll-out of a service: the first by rendezvous hashing that is
+ * not silent. VMs that know different lists may follow two coordinators for a time; the
+ * store lets only one of them write.
+ */
+import {rankByRendezvous} from '../membership/rendezvous.js';
+
+/** Milliseconds without a fresh announcement after which the next VM takes over: gossip takes about a second, and a roll-out may have twelve in all. */
+const SILENT_AFTER_MS = 2000;
+/** Milliseconds for which a silent VM is passed over unless it is heard. */
+const SILENT_MS = 15_000;
+/** Milliseconds between looks above which this process stood still. */
+const GAP_MS = 600;
+
+export class CoordinatorChoice {
+	readonly #key: string;
+	readonly #vms: () => readonly string[];
+	readonly #silentUntilMs = new Map<string, number>();
+	#names: readonly string[] | undefined;
+	#ranks: readonly string[] = [];
+	#chosen: string | undefined;
+	/** When the chosen VM was last heard or chosen. */
+	#aliveMs = 0;
+	#lookedMs = -Infinity;
+
+	/** @param vms - Names of all VMs, this one included; the same array while nothing was looked up. */
+	constructor(service: string, vms: () => readonly string[]) {
+		this.#key = `rollout/${service}`;
+		this.#vms = vms;
+	}
+
+	/** The coordinator as of now. `isNeeded` tells whether it ought to announce something. */
+	chosen(isNeeded: boolean, nowMs: number): string | undefined {
+		const names = this.#vms();
+		if (names !== this.#names) {
+			this.#names = names;
+			this.#ranks = rankByRendezvous(this.#key, names);
+		}
+
+		// After a pause of this process the time without word says nothing of other VMs.
+		const hasGap = nowMs - this.#lookedMs > GAP_MS;
+		this.#lookedMs = nowMs;
+		if (!isNeeded || hasGap) {
+			this.#aliveMs = nowMs;
+		} else if (this.#chosen !== undefined && nowMs - this.#aliveMs > SILENT_AFTER_MS) {
+			this.#silentUntilMs.set(this.#chosen, nowMs + SILENT_MS);
+		}
+
+		const next = this.#ranks.find(vm => (this.#silentUntilMs.get(vm) ?? -Infinity) <= nowMs) ?? this.#ranks[0];
+		if (next !== this.#chosen) {
+			this.#chosen = next;
+			this.#aliveMs = nowMs;
+		}
+
+		return next;
+	}
+
+	/** A VM has renewed an announcement at that moment. */
+	noteHeard(vm: string, renewedMs: number, nowMs: number): void {
+		if (nowMs - renewedMs <= SILENT_AFTER_MS) {
+			this.#silentUntilMs.delete(vm);
+		}
+
+		if (vm === this.#chosen) {
+			this.#aliveMs = Math.max(this.#aliveMs, renewedMs);
+		}
+	}
+}
--- /dev/null
+++ b/src/core/rollout/counts.ts
@@ -0,0 +1,21 @@
+/** Sums and differences of counted responses. */
+import {type Counts} from './types.js';
+
+export const noCounts: Counts = {
+	complete: 0, failed: 0, timed: 0, late: 0, firstSum: 0, firstSquares: 0, ended: 0, endSum: 0, endSquares: 0,
+};
+
+/** `a` plus `factor` times `b`. */
+export const addCounts = (a: Counts, b: Counts, factor = 1): Counts => ({
+	complete: a.complete + (b.complete * factor),
+	failed: a.failed + (b.failed * factor),
+	timed: a.timed + (b.timed * factor),
+	late: a.late + (b.late * factor),
+	firstSum: a.firstSum + (b.firstSum * factor),
+	firstSquares: a.firstSquares + (b.firstSquares * factor),
+	ended: a.ended + (b.ended * factor),
+	endSum: a.endSum + (b.endSum * factor),
+	endSquares: a.endSquares + (b.endSquares * factor),
+});
+
+export const responsesOf = ({complete, failed}: Counts): number => complete + failed;
--- /dev/null
+++ b/src/core/rollout/schedule.ts
@@ -0,0 +1,80 @@
+/** The times and shares of a roll-out, from its order on. Times are milliseconds. */
+import {responsesOf} from './counts.js';
+import {type SummedRoute} from './evidence-sum.js';
+import {type ExposureBounds} from './types.js';
+
+/** Part of the time limit after which traffic moves: a version that turns bad later shows before that, and half of the rest is left for the steps. */
+const MOVING_FROM = 0.6;
+/** Time before the limit at which the end is written: a write takes up to a second and its news the rest. */
+const END_MARGIN_MS = 1500;
+/** Bounds of the time that a step takes: an announcement reaches all VMs in about a second, and what a bad version gets in a longer step is not needed to tell it. */
+const MIN_STEP_MS = 700;
+const MAX_STEP_MS = 3000;
+/** Part of the time for the steps that is planned for them; the rest makes up for delays. */
+const PLANNED_SHARE = 0.9;
+
+/** Share of the trial: half of what a bad version may get. */
+const MAX_TRIAL_SHARE = 0.05;
+const TRIAL_PART_OF_BOUND = 0.5;
+/** Shares after the trial; each doubles the load of the new version. */
+export const MOVING_SHARES: readonly number[] = [0.25, 0.5, 1];
+
+export type Schedule = {
+	readonly movingFromMs: number;
+	readonly stepMs: number;
+	/** When the end is written at the latest. */
+	readonly endMs: number;
+	/** When the next share must be written at the latest, so that all steps after it fit. */
+	readonly lastStartMs: (share: number) => number;
+};
+
+export const scheduleOf = (durationMs: number): Schedule => {
+	const endMs = Math.max(durationMs / 2, durationMs - END_MARGIN_MS);
+	const movingFromMs = durationMs * MOVING_FROM;
+	const stepMs = Math.min(MAX_STEP_MS, Math.max(MIN_STEP_MS, (endMs - movingFromMs) / MOVING_SHARES.length * PLANNED_SHARE));
+	return {
+		movingFromMs, stepMs, endMs,
+		lastStartMs: share => endMs - (MIN_STEP_MS * MOVING_SHARES.filter(later => later >= share).length),
+	};
+};
+
+export const trialShareOf = (boundShare: number): number => Math.min(MAX_TRIAL_SHARE, boundShare * TRIAL_PART_OF_BOUND);
+
+/** The share after one; undefined after the last. */
+export const nextShare = (share: number): number | undefined => MOVING_SHARES.find(later => later > share);
+
+/** Part of the time limit after which the rate of requests is known and the trial's share may still rise. */
+const BOOST_FROM = 0.35;
+/** Largest share of a trial, for services of a few requests a second. */
+const MAX_BOOSTED_SHARE = 0.25;
+/** Part of what a bad version may get that a trial uses at most. */
+const TRIAL_EXPOSURE_PART = 0.5;
+const MS_PER_S = 1000;
+
+export type BoostInputs = {
+	readonly ageMs: number;
+	readonly durationMs: number;
+	readonly responses: SummedRoute;
+	/** Responses of the new version that are needed before traffic moves. */
+	readonly needed: number;
+	readonly bounds: ExposureBounds;
+};
+
+/**
+ * A larger share for the trial of a service with few requests, where the usual one would
+ * not show enough by the time that traffic moves; undefined when none is needed or the
+ * bound leaves no room for one.
+ */
+export const boostedShare = (share: number, {ageMs, durationMs, responses, needed, bounds}: BoostInputs): number | undefined => {
+	const leftMs = (durationMs * MOVING_FROM) - ageMs;
+	const seen = responsesOf(responses.next);
+	const perMs = (responsesOf(responses.before) + seen) / ageMs;
+	if (ageMs < durationMs * BOOST_FROM || leftMs < MS_PER_S / 2 || perMs === 0 || seen + (share * perMs * leftMs) >= needed) {
+		return undefined;
+	}
+
+	const allowed = (bounds.slack + (bounds.share * perMs * durationMs)) * TRIAL_EXPOSURE_PART;
+	const wanted = Math.min(needed - seen, allowed - seen) / (perMs * leftMs);
+	const boosted = Math.min(MAX_BOOSTED_SHARE, wanted);
+	return boosted > share * 1.2 ? boosted : undefined;
+};
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -1,4 +1,5 @@
 /** What operators decide about requests: routes, services, teams' keys and limits. */
+import {type OrderRow} from '../rollout/types.js';
 
 /** Tells what may be repeated. A stream may be repeated only where it can be resumed. */
 export type RequestKind = 'idempotent' | 'non-idempotent' | 'stream';
@@ -91,6 +92,8 @@
 	readonly sequence: number;
 	/** Wall-clock milliseconds of its start, which tell runs under one id apart. */
 	readonly bornMs: number;
+	/** Version of its software; absent if it does not say. */
+	readonly version?: string;
 };
 
 /** News of the fleet, from whatever keeps it. */
@@ -104,5 +107,7 @@
 	| {readonly kind: 'targets-current'}
 	/** Data centres that operators have taken out. */
 	| {readonly kind: 'data-centres-out'; readonly names: ReadonlySet<string>}
+	/** What became of the row that orders a service's roll-out. */
+	| {readonly kind: 'rollout-order'; readonly service: string; readonly row: OrderRow}
 	| {readonly kind: 'source-lost'}
 	| {readonly kind: 'source-regained'};
--- a/src/runtime/entry/attempt-inputs.ts
+++ b/src/runtime/entry/attempt-inputs.ts
@@ -27,8 +27,8 @@
 const noHistory: AskHistory = {tried: [], isResumed: false};
 
 /** A repeat has a latency target of its own, since the first one has usually passed. */
-const placementOf = (job: Job, {targetLatencyMs, prompt}: JobRoute, {tried, isResumed}: AskHistory, nowMs: number): AskPlacement => ({
-	targetLatencyMs, arrivedMs: tried.length === 0 ? job.arrivedMs : nowMs, tried, isResumed, ...(prompt && {prompt}),
+const placementOf = (job: Job, {name, targetLatencyMs, prompt}: JobRoute, {tried, isResumed}: AskHistory, nowMs: number): AskPlacement => ({
+	targetLatencyMs, arrivedMs: tried.length === 0 ? job.arrivedMs : nowMs, tried, isResumed, route: name, ...(prompt && {prompt}),
 });
 
 /** The ask for a job, with its cost as expected now. */
--- a/src/runtime/observe/metrics.ts
+++ b/src/runtime/observe/metrics.ts
@@ -33,6 +33,9 @@
 		uncaughtErrors: new Counter({
 			name: 'jackdawwood_uncaught_errors_total', help: 'Errors that nothing caught.', registers,
 		}),
+		rolloutSteps: new Counter({
+			name: 'jackdawwood_rollout_steps_total', help: 'Steps of roll-outs that this VM wrote.', labelNames: ['service', 'phase', 'reason'] as const, registers,
+		}),
 		claims: new Counter({
 			name: 'jackdawwood_claims_total', help: 'Claims of idempotency keys.', labelNames: ['result'] as const, registers,
 		}),
@@ -81,6 +84,9 @@
 		shedShare: new Gauge({
 			name: 'jackdawwood_shed_share', help: 'Share of requests that is refused because this VM is overloaded.', registers,
 		}),
+		rolloutShare: new Gauge({
+			name: 'jackdawwood_rollout_share', help: 'Share of a service that goes to the version that is rolled out, as this VM knows it.', labelNames: ['service'] as const, registers,
+		}),
 		teamShare: new Gauge({
 			name: 'jackdawwood_team_share', help: 'Share of a service that a team received.', labelNames: ['service', 'team'] as const, registers,
 		}),
--- /dev/null
+++ b/src/runtime/rollout/rollout-messages.ts
@@ -0,0 +1,52 @@
+/** Translates what VMs tell each other of roll-outs to and from their datagrams. */
+import {type MessageInitShape} from '@bufbuild/protobuf';
+import {noCounts} from '../../core/rollout/counts.js';
+import {
+	type Announcement, type EvidenceReport, type Phase,
+} from '../../core/rollout/types.js';
+import {
+	type PeerDatagram, type PeerDatagramSchema, type RolloutAnnouncement, type RolloutEvidence,
+} from '../../gen/jackdawwood/v1/exchange_pb.js';
+import {type RolloutMessage} from './types.js';
+
+/** Largest age that is told, in milliseconds: far beyond what counts as fresh. */
+const MAX_AGE_MS = 1_000_000_000;
+const PHASES: ReadonlySet<string> = new Set<Phase>(['trial', 'moving', 'completed', 'rolled-back']);
+
+const isPhase = (phase: string): phase is Phase => PHASES.has(phase);
+const toAge = (ms: number): number => Math.min(MAX_AGE_MS, Math.max(0, Math.round(ms)));
+
+const encodeAnnouncement = ({service, revision, isHeld, coordinator, ageMs, orderAgeMs, state}: Announcement) => ({
+	service, isHeld, coordinator, revision: BigInt(revision), order: BigInt(state.order), to: state.to, before: [...state.before], refused: [...state.refused],
+	phase: state.phase, share: state.share, counter: state.counter, orderedWallMs: state.orderedWallMs, ageMs: toAge(ageMs), orderAgeMs: toAge(orderAgeMs),
+});
+
+const decodeAnnouncement = ({
+	service, revision, order, to, before, refused, phase, share, counter, orderedWallMs, isHeld, coordinator, ageMs, orderAgeMs,
+}: RolloutAnnouncement): readonly Announcement[] => isPhase(phase)
+	? [{
+		service, isHeld, coordinator, ageMs, orderAgeMs, revision: Number(revision), state: {
+			order: Number(order), to, before, refused, phase, share, counter, orderedWallMs,
+		},
+	}]
+	: [];
+
+const encodeEvidence = ({service, order, incarnation, sequence, revision, runningBefore, routes}: EvidenceReport) => ({
+	service, incarnation, sequence, runningBefore, order: BigInt(order), revision: BigInt(revision), routes: [...routes],
+});
+
+const decodeEvidence = ({service, order, incarnation, sequence, revision, runningBefore, routes}: RolloutEvidence): EvidenceReport => ({
+	service, incarnation, sequence, runningBefore, order: Number(order), revision: Number(revision),
+	routes: routes.map(({route, before, next}) => ({route, before: before ?? noCounts, next: next ?? noCounts})),
+});
+
+/** The parts of a datagram that carry the messages. */
+export const encodeRollouts = ({announcements = [], evidence = []}: RolloutMessage): MessageInitShape<typeof PeerDatagramSchema> => ({
+	rollouts: announcements.map(announcement => encodeAnnouncement(announcement)),
+	evidence: evidence.map(report => encodeEvidence(report)),
+});
+
+export const decodeRollouts = ({rollouts, evidence}: PeerDatagram): Required<RolloutMessage> => ({
+	announcements: rollouts.flatMap(announcement => decodeAnnouncement(announcement)),
+	evidence: evidence.map(report => decodeEvidence(report)),
+});
--- /dev/null
+++ b/src/runtime/rollout/rollout-task.ts
@@ -0,0 +1,359 @@
+/**
+ * Runs the roll-outs of one VM: tells the participant and the coordinators what happens,
+ * carries out their calls to the store and sends their messages.
+ */
+import {type Clock} from '../../core/clock.js';
+import {
+	Coordinator, type CoordinatorEffect, type CoordinatorFacts, type CoordinatorMessage,
+} from '../../core/rollout/coordinator.js';
+import {CoordinatorChoice} from '../../core/rollout/coordinator-choice.js';
+import {EvidenceCounter} from '../../core/rollout/evidence.js';
+import {Participant, type Lanes, type LaneTargets} from '../../core/rollout/participant.js';
+import {
+	type Announcement, type EvidenceReport, type ExposureBounds, type OrderRow,
+} from '../../core/rollout/types.js';
+import {type TargetRecord} from '../../core/routing/types.js';
+import {type Log} from '../observe/log.js';
+import {type Metrics} from '../observe/metrics.js';
+import {type RolloutMessage, type RolloutStore} from './types.js';
+
+/** Milliseconds between looks while an order is open: evidence goes out as often at most. */
+const LOOK_MS = 200;
+/** The same while none is: often enough to notice that the process stood still. */
+const IDLE_LOOK_MS = 400;
+/** Evidence goes out at least this often, since it also says which row the VM goes by. */
+const REPORT_MS = 600;
+/** Milliseconds between reports for each VM of the fleet, so that a coordinator takes at most some 250 a second. */
+const REPORT_MS_PER_VM = 4;
+/** Milliseconds between reads of the store that failed. */
+const READ_RETRY_MS = 250;
+
+export type RolloutTaskOptions = {
+	readonly vm: string;
+	readonly incarnation: string;
+	readonly vms: () => readonly string[];
+	readonly bounds: ExposureBounds;
+	readonly store: RolloutStore;
+	readonly clock: Clock;
+	/** Wall-clock milliseconds. */
+	readonly wallMs: () => number;
+	readonly log: Log;
+	readonly metrics: Metrics;
+	readonly targets: () => ReadonlyMap<string, TargetRecord>;
+	/** Whether a target may get requests at all. */
+	readonly isUsable: (target: TargetRecord) => boolean;
+	readonly tellPeer: (vm: string, message: RolloutMessage) => void;
+	/** Called when a service's targets are divided anew. */
+	readonly onLanes: (service: string) => void;
+};
+
+export type RolloutTask = {
+	readonly evidence: EvidenceCounter;
+	readonly lanes: (service: string) => Lanes;
+	readonly goesToNext: (service: string, request: {readonly id: string; readonly isRepeat: boolean}, targets: LaneTargets) => boolean;
+	readonly maySend: (service: string, version: string, hasBefore: boolean) => boolean;
+	readonly onOrder: (service: string, row: OrderRow) => void;
+	/** A target is known, before it is used. */
+	readonly onTarget: (target: TargetRecord) => void;
+	/** All targets were read for the first time. */
+	readonly onTargetsRead: () => void;
+	/** What goes out with each load report. */
+	readonly announcements: () => readonly Announcement[];
+	readonly onMessage: (from: string, message: Required<RolloutMessage>) => void;
+	/** Whether orders and states were read. */
+	readonly isReady: () => boolean;
+	readonly stop: () => void;
+};
+
+/** A service that has or had an order. */
+type Managed = {
+	readonly coordinator: Coordinator;
+	readonly choice: CoordinatorChoice;
+	reportedMs: number;
+	reported: string;
+	lanes: string;
+	phase: string;
+};
+
+const versionOf = ({version = ''}: TargetRecord): string => version;
+
+export const createRolloutTask = ({
+	vm, incarnation, vms, bounds, store, clock, wallMs, log, metrics, targets, isUsable, tellPeer, onLanes,
+}: RolloutTaskOptions): RolloutTask => {
+	const participant = new Participant(bounds);
+	const evidence = new EvidenceCounter(incarnation);
+	const services = new Map<string, Managed>();
+	let hasRead = false;
+	let isStopped = false;
+	let isConfirming = false;
+	let timer: NodeJS.Timeout | undefined;
+
+	const managedOf = (service: string): Managed => {
+		const known = services.get(service) ?? {
+			coordinator: new Coordinator(bounds), choice: new CoordinatorChoice(service, vms), reportedMs: -Infinity, reported: '', lanes: '', phase: '',
+		};
+		services.set(service, known);
+		return known;
+	};
+
+	/** Tells of what changed for the service since the last call. */
+	const refresh = (service: string): void => {
+		const managed = managedOf(service);
+		const {before, next, unconfirmed} = participant.lanes(service);
+		const lanes = JSON.stringify([before, next, [...unconfirmed]]);
+		const order = participant.order(service);
+		const stored = participant.stored(service);
+		if (order) {
+			evidence.startOrder(service, order);
+		}
+
+		const isHeld = participant.heldRevision(service) !== undefined;
+		const phase = `${stored?.revision ?? 0} ${String(isHeld)} ${order?.version ?? 0}`;
+		if (phase !== managed.phase) {
+			managed.phase = phase;
+			log.info('roll-out state', {
+				service, order: order?.version, order_to: order?.to, phase: stored?.state.phase, to: stored?.state.to, share: stored?.state.share, held: isHeld, revision: stored?.revision,
+			});
+			metrics.rolloutShare.set({service}, isHeld || !next ? 0 : stored?.state.share ?? 0);
+		}
+
+		if (lanes !== managed.lanes) {
+			managed.lanes = lanes;
+			onLanes(service);
+		}
+	};
+
+	const factsOf = (service: string, isChosen: boolean): CoordinatorFacts => {
+		const order = participant.order(service);
+		const before = participant.lanes(service).before ?? [];
+		const facts = {newTargets: 0, newSlots: 0, oldSlots: 0};
+		for (const target of targets().values()) {
+			if (target.service === service && isUsable(target)) {
+				if (versionOf(target) === order?.to) {
+					facts.newTargets++;
+					facts.newSlots += target.slots;
+				} else if (before.includes(versionOf(target))) {
+					facts.oldSlots += target.slots;
+				}
+			}
+		}
+
+		return {
+			...facts, isChosen, order, before, vms: vms().length, heldRevision: participant.heldRevision(service), wallMs: wallMs(),
+		};
+	};
+
+	const tell = (service: string, message: CoordinatorMessage): void => {
+		if (!isStopped) {
+			for (const effect of managedOf(service).coordinator.handle(message, clock.nowMs())) {
+				perform(service, effect);
+			}
+		}
+	};
+
+	const takeStates = (states: Awaited<ReturnType<RolloutStore['readStates']>>): void => {
+		for (const [service, stored] of states ?? []) {
+			participant.onStored(service, stored, {nowMs: clock.nowMs(), wallMs: wallMs()});
+			refresh(service);
+		}
+	};
+
+	const readState = async (service: string): Promise<void> => {
+		const states = await store.readStates();
+		takeStates(states);
+		tell(service, states ? {kind: 'read', stored: states.get(service)} : {kind: 'read-failed'});
+	};
+
+	const writeState = async (service: string, write: Extract<CoordinatorEffect, {kind: 'write'}>['write']): Promise<void> => {
+		const written = await store.write(service, write);
+		if (written.kind === 'written') {
+			participant.onStored(service, {state: write.state, revision: written.revision}, {nowMs: clock.nowMs(), wallMs: wallMs()});
+			metrics.rolloutSteps.inc({service, phase: write.state.phase, reason: write.reason});
+			refresh(service);
+		}
+
+		tell(service, written);
+	};
+
+	function perform(service: string, effect: CoordinatorEffect): void {
+		switch (effect.kind) {
+			case 'read': {
+				void readState(service);
+				break;
+			}
+
+			case 'write': {
+				void writeState(service, effect.write);
+				break;
+			}
+
+			case 'announce': {
+				const order = participant.order(service);
+				participant.onAnnouncement({
+					...effect.stored, service, coordinator: vm, isHeld: effect.isHeld, ageMs: 0,
+					orderAgeMs: order?.version === effect.stored.state.order ? clock.nowMs() - order.orderedMs : 0,
+				}, clock.nowMs());
+				refresh(service);
+				break;
+			}
+
+			case 'log': {
+				const {write: {state, reason, order}, verdict, responses, runningBefore} = effect;
+				log.info('roll-out step', {
+					service, order, to: state.to, phase: state.phase, share: state.share, reason, route: verdict.alarm?.route, score: Math.round(verdict.score * 100) / 100,
+					responses, running_before: runningBefore,
+				});
+				break;
+			}
+		}
+	}
+
+	/** Sends what this VM saw to the coordinator, when it changed or is due. */
+	const report = (service: string, coordinator: string | undefined): void => {
+		const managed = managedOf(service);
+		const nowMs = clock.nowMs();
+		const everyMs = Math.max(LOOK_MS, vms().length * REPORT_MS_PER_VM);
+		if (coordinator === undefined || nowMs - managed.reportedMs < everyMs * 0.9) {
+			return;
+		}
+
+		const counted = evidence.report(service, participant.stored(service)?.revision ?? 0, nowMs);
+		const {sequence: _, ...rest} = counted ?? {sequence: 0};
+		const text = `${coordinator} ${JSON.stringify(rest)}`;
+		if (!counted || (text === managed.reported && nowMs - managed.reportedMs < REPORT_MS)) {
+			return;
+		}
+
+		managed.reported = text;
+		managed.reportedMs = nowMs;
+		if (coordinator === vm) {
+			tell(service, {
+				kind: 'evidence', vm, report: counted, vms: vms().length,
+			});
+		} else {
+			tellPeer(coordinator, {evidence: [counted]});
+		}
+	};
+
+	const lookAt = (service: string): void => {
+		const {choice} = managedOf(service);
+		const isOpen = participant.isOpen(service);
+		const coordinator = choice.chosen(isOpen, clock.nowMs());
+		if (isOpen) {
+			report(service, coordinator);
+		}
+
+		tell(service, {kind: 'look', facts: factsOf(service, isOpen && coordinator === vm)});
+	};
+
+	/** Reads the operators' table once more, so that a version whose order came meanwhile is not taken for one without. */
+	const confirm = async (): Promise<void> => {
+		if (isConfirming) {
+			return;
+		}
+
+		isConfirming = true;
+		const asked = participant.unconfirmed();
+		const [read, states] = await Promise.all([store.readOrders(), hasRead ? undefined : store.readStates()]);
+		isConfirming = false;
+		if (isStopped) {
+			return;
+		}
+
+		if (!read || (!hasRead && !states)) {
+			setTimeout(() => {
+				void confirm();
+			}, READ_RETRY_MS).unref();
+			return;
+		}
+
+		takeStates(states);
+		hasRead = true;
+		for (const [service, row] of read.orders) {
+			participant.onOrder(service, row, clock.nowMs());
+		}
+
+		participant.onConfirmed(asked);
+		for (const service of new Set([...asked.keys(), ...participant.managed()])) {
+			refresh(service);
+		}
+
+		if (participant.hasUnconfirmed()) {
+			void confirm();
+		}
+	};
+
+	const look = (): void => {
+		const nowMs = clock.nowMs();
+		participant.onTick(nowMs);
+		const managed = participant.managed();
+		for (const service of hasRead ? managed : []) {
+			refresh(service);
+			lookAt(service);
+		}
+
+		if (hasRead && participant.takeReads(nowMs).length > 0) {
+			void store.readStates().then(takeStates);
+		}
+
+		const isOpen = managed.some(service => participant.isOpen(service));
+		timer = setTimeout(look, isOpen ? LOOK_MS : IDLE_LOOK_MS);
+	};
+
+	look();
+	return {
+		evidence,
+		lanes: service => participant.lanes(service),
+		goesToNext: (service, request, laneTargets) => participant.goesToNext(service, request, laneTargets, clock.nowMs()),
+		maySend: (service, version, hasBefore) => participant.maySend(service, version, hasBefore, clock.nowMs()),
+		onOrder(service, row) {
+			participant.onOrder(service, row, clock.nowMs());
+			refresh(service);
+		},
+		onTarget(target) {
+			if (participant.onVersion(target.service, versionOf(target)) && hasRead) {
+				void confirm();
+			}
+		},
+		onTargetsRead() {
+			if (!hasRead) {
+				void confirm();
+			}
+		},
+		announcements: () => participant.managed().flatMap(service => participant.announcement(service, clock.nowMs()) ?? []),
+		onMessage(from, {announcements, evidence: reports}) {
+			const nowMs = clock.nowMs();
+			for (const announcement of announcements) {
+				const {service, coordinator, ageMs} = announcement;
+				if (participant.onAnnouncement(announcement, nowMs)) {
+					managedOf(service).choice.noteHeard(coordinator, nowMs - ageMs, nowMs);
+					refresh(service);
+				}
+			}
+
+			for (const each of reports) {
+				onEvidence(from, each);
+			}
+		},
+		isReady: () => hasRead,
+		stop() {
+			isStopped = true;
+			clearTimeout(timer);
+		},
+	};
+
+	/** The newest announcement goes back to whoever reports, so that news takes one round trip where the coordinator is in reach. */
+	function onEvidence(from: string, counted: EvidenceReport): void {
+		if (!participant.order(counted.service)) {
+			return;
+		}
+
+		tell(counted.service, {
+			kind: 'evidence', vm: from, report: counted, vms: vms().length,
+		});
+		const announcement = participant.announcement(counted.service, clock.nowMs());
+		if (announcement) {
+			tellPeer(from, {announcements: [announcement]});
+		}
+	}
+};
--- a/src/runtime/routing/fleet-view.ts
+++ b/src/runtime/routing/fleet-view.ts
@@ -40,8 +40,9 @@
 	const onTarget = (target: TargetRecord): readonly FleetNews[] => {
 		const known = targets.get(target.id);
 		targets.set(target.id, target);
-		if (known?.isDraining !== target.isDraining || known.bornMs !== target.bornMs || known.address !== target.address) {
+		if (known?.isDraining !== target.isDraining || known.bornMs !== target.bornMs || known.address !== target.address || known.version !== target.version) {
 			log.info('target state', {
+				...(target.version !== undefined && {version: target.version}),
 				target: target.id, service: target.service, address: target.address, data_centre: target.dataCentre,
 				draining: target.isDraining, cold_ms: target.coldRemainingMs, sequence: target.sequence, known: known !== undefined,
 			});
@@ -96,6 +97,10 @@
 					return [news];
 				}
 
+				case 'rollout-order': {
+					return [news];
+				}
+
 				case 'source-lost':
 				case 'source-regained': {
 					log.warn(news.kind === 'source-lost' ? 'fleet source lost' : 'fleet source regained', {config_version: inForce?.config.version});
--- a/src/runtime/routing/load-exchange.ts
+++ b/src/runtime/routing/load-exchange.ts
@@ -17,6 +17,8 @@
 import {type PeerMessage} from '../../core/placement/reservations.js';
 import {type NewsWord} from '../../core/news/types.js';
 import {type Log} from '../observe/log.js';
+import {decodeRollouts, encodeRollouts} from '../rollout/rollout-messages.js';
+import {type RolloutMessage} from '../rollout/types.js';
 import {decodeReservations, encodeReservations, type ServiceMessage} from './reservation-messages.js';
 
 type Address = {readonly host: string; readonly port: number};
@@ -50,17 +52,22 @@
 	readonly takeObserved: () => readonly ObservedLoad[];
 	/** Called with what targets said of their load to another VM. */
 	readonly onObserved: (loads: readonly ObservedLoad[]) => void;
+	/** What goes out about roll-outs with each report, if any are carried out. */
+	readonly rollouts?: () => RolloutMessage;
+	readonly onRollouts?: (from: string, message: Required<RolloutMessage>) => void;
 };
 
 export type LoadExchange = {
 	/** Sends a message on reservations, with others of the same turn. */
 	readonly tell: (vm: string, service: string, message: PeerMessage) => void;
+	/** Sends a message on roll-outs. */
+	readonly tellRollouts: (vm: string, message: RolloutMessage) => void;
 	readonly close: () => void;
 };
 
 /** Starts to listen and to report. */
 export const startLoadExchange = async ({
-	vm, incarnation, listen, clock, log, loads, peers, peerOf, onPeer, targets, teams, takeSentPrompts, onSentPrompts, takeObserved, onObserved, newsWord, onNewsWord, leavingTargets, onLeavingTargets,
+	vm, incarnation, listen, clock, log, loads, peers, peerOf, onPeer, targets, teams, takeSentPrompts, onSentPrompts, takeObserved, onObserved, newsWord, onNewsWord, leavingTargets, onLeavingTargets, rollouts, onRollouts,
 }: LoadExchangeOptions): Promise<LoadExchange> => {
 	const socket = createSocket('udp4');
 	let sequence = 0;
@@ -84,6 +91,7 @@
 				});
 			}
 
+			onRollouts?.(datagram.vm, decodeRollouts(datagram));
 			for (const {service, message} of decodeReservations(datagram)) {
 				onPeer(datagram.vm, service, message);
 			}
@@ -123,7 +131,7 @@
 				incarnation, sequence: ++sequence, ...told,
 				teams: teams().map(load => ({...load, use: Math.round(load.use), asked: Math.round(load.asked)})),
 			});
-			const bytes = toBinary(PeerDatagramSchema, create(PeerDatagramSchema, {vm, report}));
+			const bytes = toBinary(PeerDatagramSchema, create(PeerDatagramSchema, {vm, report, ...(rollouts && encodeRollouts(rollouts()))}));
 			for (const {host, port} of peersOfRound(addresses, next, plan)) {
 				// A peer that cannot be reached misses one report.
 				socket.send(bytes, port, host, () => undefined);
@@ -158,6 +166,12 @@
 			outbox.set(to, messages);
 			messages.push({service, message});
 		},
+		tellRollouts(to, message) {
+			const address = peerOf(to);
+			if (address) {
+				socket.send(toBinary(PeerDatagramSchema, create(PeerDatagramSchema, {vm, ...encodeRollouts(message)})), address.port, address.host, () => undefined);
+			}
+		},
 		close() {
 			clearTimeout(timer);
 			socket.close();
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -1,4 +1,8 @@
-/** The scheduler of routed requests: one placement for each service, fed with news and asks. */
+/**
+ * The scheduler of routed requests: one placement for each service, fed with news and asks.
+ * During a roll-out the targets of the new version have a placement of their own, so that
+ * prompts, queues and loads of the two versions stay apart.
+ */
 import {type Clock} from '../../core/clock.js';
 import {type Grant, type PendingAsk, type Scheduler} from '../../core/dispatch/types.js';
 import {RefusalError} from '../../core/errors/refusal-error.js';
@@ -11,8 +15,10 @@
 import {type PeerMessage} from '../../core/placement/reservations.js';
 import {ServicePlacement} from '../../core/placement/service-placement.js';
 import {type FleetBounds, type PlacedAsk} from '../../core/placement/types.js';
-import {type FleetNews} from '../../core/routing/types.js';
+import {coldLimit} from '../../core/placement/cold-limit.js';
+import {type FleetNews, type RoutedService, type TargetRecord} from '../../core/routing/types.js';
 import {type Log} from '../observe/log.js';
+import {type RolloutTask} from '../rollout/rollout-task.js';
 import {type FleetView} from './fleet-view.js';
 import {grantFields, rejectFields} from './placement-fields.js';
 
@@ -37,6 +43,8 @@
 	readonly random: () => number;
 	/** Whether this VM is behind its work. */
 	readonly isBehind: () => boolean;
+	/** Absent when versions of targets are ignored. */
+	readonly rollout?: Pick<RolloutTask, 'evidence' | 'lanes' | 'goesToNext' | 'maySend'>;
 	/** Sends a message to another VM; it may be lost. */
 	readonly tellPeer: (vm: string, service: string, message: PeerMessage) => void;
 };
@@ -44,6 +52,8 @@
 export type PlacementScheduler = Required<Scheduler> & {
 	readonly onNews: (news: FleetNews) => void;
 	readonly onUnreachable: (address: string) => void;
+	/** The targets of a service are divided anew between versions. */
+	readonly onLanes: (service: string) => void;
 	readonly stop: () => void;
 	/** What this VM reports to the others. */
 	readonly targetLoads: () => readonly TargetLoad[];
@@ -65,15 +75,51 @@
 	readonly waiting: () => ReadonlyMap<string, number>;
 };
 
+/** The targets of a service that are placed together: all of them, or those of one side of a roll-out. */
+type Lane = {
+	readonly service: string;
+	readonly placement: ServicePlacement;
+	/** Grants that have not ended. */
+	open: number;
+};
+
+type ServiceLanes = {
+	main: Lane;
+	next: (Lane & {readonly version: string}) | undefined;
+};
+
+type OpenGrant = {readonly lane: Lane; readonly version: string};
+
 type Waiter = {
+	readonly ask: PlacedAsk;
+	lane: Lane | undefined;
 	readonly resolve: (grant: Grant) => void;
 	readonly reject: (err: RefusalError) => void;
 };
 
-export const createPlacementScheduler = ({vm, dataCentre, bounds, clock, view, vms, log, loads, random, isBehind, tellPeer}: PlacementSchedulerOptions): PlacementScheduler => {
-	const placements = new Map<string, ServicePlacement>();
+/** Sums what the lanes of one service report of a team. */
+const mergeTeams = (loads: readonly TeamLoad[]): readonly TeamLoad[] => {
+	const merged = new Map<string, TeamLoad>();
+	for (const load of loads) {
+		const key = `${load.service} ${load.team}`;
+		const known = merged.get(key);
+		merged.set(key, known
+			? {
+				...load, use: known.use + load.use, asked: known.asked + load.asked, waits: known.waits || load.waits,
+			}
+			: load);
+	}
+
+	return [...merged.values()];
+};
+
+export const createPlacementScheduler = ({vm, dataCentre, bounds, clock, view, vms, log, loads, random, isBehind, rollout, tellPeer}: PlacementSchedulerOptions): PlacementScheduler => {
+	const lanesOf = new Map<string, ServiceLanes>();
+	/** Lanes that get no more requests and whose last ones run to their end. */
+	const retired = new Set<Lane>();
+	const laneOfTarget = new Map<string, Lane>();
 	const waiters = new Map<string, Waiter>();
-	const serviceOfGrant = new Map<string, string>();
+	const openGrants = new Map<string, OpenGrant>();
 	let grants = 0;
 	let timer: NodeJS.Timeout | undefined;
 
@@ -82,7 +128,16 @@
 		return `${vm}-${grants}`;
 	};
 
-	const perform = (service: string, effects: readonly PlacementEffect[]): void => {
+	const allLanes = (): readonly Lane[] => [...[...lanesOf.values()].flatMap(({main, next}) => next ? [main, next] : [main]), ...retired];
+	const allPlacements = (): readonly ServicePlacement[] => allLanes().map(({placement}) => placement);
+
+	const prune = (lane: Lane): void => {
+		if (lane.open === 0 && lane.placement.waiting === 0) {
+			retired.delete(lane);
+		}
+	};
+
+	const perform = (service: string, lane: Lane | undefined, effects: readonly PlacementEffect[]): void => {
 		for (const effect of effects) {
 			if (effect.kind === 'tell-peer') {
 				tellPeer(effect.vm, service, effect.message);
@@ -99,9 +154,16 @@
 
 			const {target, grantId, because} = effect;
 			log.routine('request placed', {
-				...grantFields(service, effect), vms_heard: loads.heard, config_version: view.inForce()?.config.version,
+				...grantFields(service, effect), ...(rollout && {version: target.version}), vms_heard: loads.heard, config_version: view.inForce()?.config.version,
+			});
+			if (lane) {
+				lane.open++;
+				openGrants.set(grantId, {lane, version: target.version ?? ''});
+			}
+
+			rollout?.evidence.noteSent(grantId, {
+				service, route: effect.ask.route ?? '', version: target.version ?? '', isCold: because.isCold, targetLatencyMs: effect.ask.targetLatencyMs, sentMs: clock.nowMs(),
 			});
-			serviceOfGrant.set(grantId, service);
 			waiter?.resolve({
 				grantId, target: target.id, address: target.address, epoch: 0n, instance: target.id, expiresAtMs: clock.nowMs() + GRANT_MS,
 				...(because.copyFrom && {copyPromptFrom: because.copyFrom.address}),
@@ -109,20 +171,21 @@
 		}
 	};
 
-	const tell = (service: string, message: PlacementMessage): void => {
-		const placement = placements.get(service);
-		if (placement) {
-			perform(service, placement.handle(message, clock.nowMs()));
+	const tell = (lane: Lane | undefined, message: PlacementMessage): void => {
+		if (lane) {
+			perform(lane.service, lane, lane.placement.handle(message, clock.nowMs()));
 			arm();
 		}
 	};
 
 	const tellAll = (message: PlacementMessage): void => {
-		for (const service of placements.keys()) {
-			tell(service, message);
+		for (const lane of allLanes()) {
+			tell(lane, message);
 		}
 	};
 
+	const laneOfId = (id: string): Lane | undefined => laneOfTarget.get(id);
+
 	function arm(): void {
 		if (timer === undefined && waiters.size > 0) {
 			timer = setTimeout(() => {
@@ -133,33 +196,147 @@
 		}
 	}
 
+	const createLane = (service: RoutedService): Lane => {
+		const lane: Lane = {
+			service: service.name, open: 0, placement: new ServicePlacement({
+				service, bounds, vm, vms, dataCentre, fleet: loads, createGrantId, random, isBehind,
+			}),
+		};
+		tell(lane, {kind: 'data-centres-out', names: view.outNames()});
+		return lane;
+	};
+
+	/** The lane in which a target of a version belongs now; undefined when the version may not be used. */
+	const laneFor = (service: string, version: string): Lane | undefined => {
+		const lanes = lanesOf.get(service);
+		const division = rollout?.lanes(service);
+		if (!lanes || !division) {
+			return lanes?.main;
+		}
+
+		if (lanes.next?.version === version) {
+			return lanes.next;
+		}
+
+		const isMain = division.before ? division.before.includes(version) : !division.unconfirmed.has(version);
+		return isMain ? lanes.main : undefined;
+	};
+
+	const onTarget = (target: TargetRecord): void => {
+		const lane = laneFor(target.service, target.version ?? '');
+		const known = laneOfTarget.get(target.id);
+		if (known && known !== lane) {
+			laneOfTarget.delete(target.id);
+			tell(known, {kind: 'target-gone', id: target.id});
+		}
+
+		if (lane) {
+			laneOfTarget.set(target.id, lane);
+			tell(lane, {kind: 'target', target});
+		}
+	};
+
+	/** Requests that wait in a lane that is no longer used wait in the other one. */
+	const moveWaiting = (from: Lane, to: Lane): void => {
+		for (const [requestId, waiter] of waiters) {
+			if (waiter.lane === from) {
+				tell(from, {kind: 'withdraw', requestId});
+				waiter.lane = to;
+				tell(to, {kind: 'ask', ask: waiter.ask});
+			}
+		}
+	};
+
+	const retire = (lane: Lane): void => {
+		retired.add(lane);
+		prune(lane);
+	};
+
+	const onLanes = (service: string): void => {
+		const lanes = lanesOf.get(service);
+		const config = view.inForce()?.config.services.get(service);
+		const division = rollout?.lanes(service);
+		if (!lanes || !config || !division) {
+			return;
+		}
+
+		const {main, next} = lanes;
+		if (next && next.version !== division.next) {
+			lanes.next = undefined;
+			// The version that was rolled out is the service's own now, with what is known of its targets.
+			const isCompleted = division.before?.includes(next.version) === true;
+			lanes.main = isCompleted ? next : main;
+			retire(isCompleted ? main : next);
+		}
+
+		if (division.next !== undefined && !lanes.next) {
+			lanes.next = Object.assign(createLane(config), {version: division.next});
+		}
+
+		for (const target of view.targets().values()) {
+			if (target.service === service) {
+				onTarget(target);
+			}
+		}
+
+		for (const lane of retired) {
+			if (lane.service === service) {
+				moveWaiting(lane, lanes.main);
+				prune(lane);
+			}
+		}
+	};
+
 	const onConfig = ({config}: Extract<FleetNews, {kind: 'config'}>): void => {
 		for (const service of config.services.values()) {
-			if (placements.has(service.name)) {
-				tell(service.name, {kind: 'service', service});
+			const lanes = lanesOf.get(service.name);
+			if (lanes) {
+				tell(lanes.main, {kind: 'service', service});
+				tell(lanes.next, {kind: 'service', service});
 				continue;
 			}
 
-			placements.set(service.name, new ServicePlacement({
-				service, bounds, vm, vms, dataCentre, fleet: loads, createGrantId, random, isBehind,
-			}));
-			tell(service.name, {kind: 'data-centres-out', names: view.outNames()});
+			lanesOf.set(service.name, {main: createLane(service), next: undefined});
+			onLanes(service.name);
 			for (const target of view.targets().values()) {
 				if (target.service === service.name) {
-					tell(service.name, {kind: 'target', target});
+					onTarget(target);
 				}
 			}
 		}
 	};
 
+	const hasUsable = (lane: Lane): boolean => lane.placement.known.usable().length > 0;
+
+	/** Whether a target of the new version can take a request now: a cold one bears few, and a VM's part of these may be none. */
+	const hasRoom = (lane: Lane): boolean => {
+		const nowMs = clock.nowMs();
+		const coldPerS = view.inForce()?.config.services.get(lane.service)?.coldPerS ?? 0;
+		return lane.placement.known.usable().some(target => coldPerS === 0 || !target.isCold(nowMs) || target.hasColdRoom(coldLimit(target.record.id, {
+			bounds, coldPerS, vm, vms: vms(),
+		}), nowMs));
+	};
+
+	const laneOfAsk = (service: string, {requestId, tried}: PlacedAsk): Lane | undefined => {
+		const lanes = lanesOf.get(service);
+		return lanes?.next && rollout?.goesToNext(service, {id: requestId, isRepeat: tried.length > 0}, {hasBefore: hasUsable(lanes.main), hasNext: hasRoom(lanes.next)})
+			? lanes.next
+			: lanes?.main;
+	};
+
 	const ask = (service: string, placed: PlacedAsk): PendingAsk => {
+		const lane = laneOfAsk(service, placed);
+		const waiter: {current: Waiter | undefined} = {current: undefined};
 		const granted = new Promise<Grant>((resolve, reject) => {
-			waiters.set(placed.requestId, {resolve, reject});
+			waiter.current = {
+				resolve, reject, ask: placed, lane,
+			};
+			waiters.set(placed.requestId, waiter.current);
 		});
-		if (placements.has(service)) {
-			tell(service, {kind: 'ask', ask: placed});
+		if (lane) {
+			tell(lane, {kind: 'ask', ask: placed});
 		} else {
-			perform(service, [{
+			perform(service, undefined, [{
 				kind: 'reject', ask: placed, reason: 'no-target', retryAfterMs: DEFAULT_LATENCY_MS, givesWay: false,
 			}]);
 		}
@@ -168,11 +345,17 @@
 			granted,
 			withdraw() {
 				waiters.delete(placed.requestId);
-				tell(service, {kind: 'withdraw', requestId: placed.requestId});
+				tell(waiter.current?.lane, {kind: 'withdraw', requestId: placed.requestId});
 			},
 		};
 	};
 
+	/** Whether a target may still get a request of its version. */
+	const mayGet = ({service, version = ''}: TargetRecord): boolean => {
+		const lanes = lanesOf.get(service);
+		return !rollout || !lanes || rollout.maySend(service, version, hasUsable(lanes.main));
+	};
+
 	return {
 		ask: wish => ask(wish.service, {
 			...wish, ...(wish.placement ?? {
@@ -182,25 +365,40 @@
 		isValid({target: id, expiresAtMs}) {
 			const target = view.targets().get(id);
 			return target !== undefined && !target.isDraining && !view.isOut(target.dataCentre) && clock.nowMs() < expiresAtMs
-				&& placements.get(target.service)?.known.isOpen(id, clock.nowMs()) === true;
+				&& laneOfId(id)?.placement.known.isOpen(id, clock.nowMs()) === true && mayGet(target);
 		},
 		end({grantId, target}, result) {
-			const service = serviceOfGrant.get(grantId);
-			serviceOfGrant.delete(grantId);
-			if (service !== undefined) {
-				tell(service, {
+			const grant = openGrants.get(grantId);
+			openGrants.delete(grantId);
+			if (grant) {
+				const {lane} = grant;
+				if (rollout) {
+					const isLeaving = view.targets().get(target)?.isDraining !== false || !lane.placement.known.usable().some(({record}) => record.id === target);
+					rollout.evidence.noteEnd(grantId, result, isLeaving, clock.nowMs());
+				}
+
+				lane.open--;
+				tell(lane, {
 					kind: 'end', grantId, target, result,
 				});
+				prune(lane);
 			}
 		},
 		observe({grantId, target}, observation) {
-			const service = serviceOfGrant.get(grantId);
-			if (service !== undefined) {
-				tell(service, {
+			const grant = openGrants.get(grantId);
+			if (grant) {
+				if (observation.kind === 'first-token') {
+					rollout?.evidence.noteFirstPart(grantId, clock.nowMs());
+				} else if (observation.kind === 'load') {
+					rollout?.evidence.noteAnswering(grantId);
+				}
+
+				tell(grant.lane, {
 					kind: 'observe', grantId, target, observation,
 				});
 			}
 		},
+		onLanes,
 		onNews(news) {
 			switch (news.kind) {
 				case 'config': {
@@ -209,17 +407,23 @@
 				}
 
 				case 'target': {
-					tell(news.target.service, news);
+					onTarget(news.target);
+					break;
+				}
+
+				case 'target-gone': {
+					laneOfTarget.delete(news.id);
+					tellAll(news);
 					break;
 				}
 
-				case 'target-gone':
 				case 'targets-current':
 				case 'data-centres-out': {
 					tellAll(news);
 					break;
 				}
 
+				case 'rollout-order':
 				case 'all-targets':
 				case 'source-lost':
 				case 'source-regained': {
@@ -231,42 +435,54 @@
 			for (const target of view.targets().values()) {
 				if (target.address === address) {
 					log.warn('target unreachable', {target: target.id, address});
-					tell(target.service, {kind: 'unreachable', target: target.id});
+					tell(laneOfId(target.id), {kind: 'unreachable', target: target.id});
 				}
 			}
 		},
 		stop() {
 			clearTimeout(timer);
 		},
-		targetLoads: () => [...placements.values()].flatMap(placement => placement.known.loads()),
-		teamLoads: () => [...placements.values()].flatMap(placement => placement.teamLoads(clock.nowMs())),
-		takeSentPrompts: () => [...placements.values()].flatMap(placement => placement.takeSentPrompts()),
-		takeObserved: () => [...placements.values()].flatMap(placement => placement.known.takeObserved(clock.nowMs())),
+		targetLoads: () => allPlacements().flatMap(placement => placement.known.loads()),
+		teamLoads: () => mergeTeams(allPlacements().flatMap(placement => placement.teamLoads(clock.nowMs()))),
+		takeSentPrompts: () => allPlacements().flatMap(placement => placement.takeSentPrompts()),
+		takeObserved: () => allPlacements().flatMap(placement => placement.known.takeObserved(clock.nowMs())),
 		onObserved(observed) {
 			if (observed.length > 0) {
 				tellAll({kind: 'observed-elsewhere', loads: observed});
 			}
 		},
-		leavingTargets: () => [...placements.values()].flatMap(placement => placement.known.leaving(clock.nowMs())),
+		leavingTargets: () => allPlacements().flatMap(placement => placement.known.leaving(clock.nowMs())),
 		onLeavingTargets(targets) {
 			for (const leaving of targets) {
-				const service = view.targets().get(leaving.target)?.service;
-				if (service !== undefined) {
-					tell(service, {kind: 'leaving-elsewhere', leaving});
-				}
+				tell(laneOfId(leaving.target), {kind: 'leaving-elsewhere', leaving});
 			}
 		},
 		onPeer(from, service, message) {
-			tell(service, {kind: 'peer', from, message});
+			const lanes = lanesOf.get(service);
+			if (message.kind === 'answer') {
+				// Grants are unique: only the lane that asked knows the id.
+				for (const lane of allLanes()) {
+					if (lane.service === service) {
+						tell(lane, {kind: 'peer', from, message});
+					}
+				}
+			} else {
+				const target = message.kind === 'request' ? message.wish.target : message.target;
+				tell(laneOfId(target) ?? lanes?.main, {kind: 'peer', from, message});
+			}
 		},
 		onSentPrompts(prompts) {
 			for (const sent of prompts) {
-				const service = view.targets().get(sent.target)?.service;
-				if (service !== undefined) {
-					tell(service, {kind: 'sent-elsewhere', sent});
-				}
+				tell(laneOfId(sent.target), {kind: 'sent-elsewhere', sent});
+			}
+		},
+		waiting() {
+			const waiting = new Map<string, number>();
+			for (const {service, placement} of allLanes()) {
+				waiting.set(service, (waiting.get(service) ?? 0) + placement.waiting);
 			}
+
+			return waiting;
 		},
-		waiting: () => new Map([...placements].map(([service, placement]) => [service, placement.waiting])),
 	};
 };
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -16,6 +16,7 @@
 import {startLoopDelay} from '../observe/loop-delay.js';
 import {type Metrics} from '../observe/metrics.js';
 import {FleetLoads} from '../../core/placement/fleet-loads.js';
+import {createRolloutTask, type RolloutTask} from '../rollout/rollout-task.js';
 import {createFleetView} from './fleet-view.js';
 import {startLoadExchange, type LoadExchange} from './load-exchange.js';
 import {createPlacementScheduler} from './placement-scheduler.js';
@@ -133,8 +134,20 @@
 	const loads = new FleetLoads();
 	const peers: {exchange?: LoadExchange} = {};
 	const shed = createLoadShed({behindMs: limits.behindMs, random});
+	const rollout: RolloutTask | undefined = bounds.exposure && source.rollouts
+		? createRolloutTask({
+			vm, incarnation, vms, bounds: bounds.exposure, store: source.rollouts, clock, wallMs: () => Date.now(), log, metrics, targets: view.targets,
+			isUsable: target => !target.isDraining && !view.isOut(target.dataCentre),
+			tellPeer(peer, message) {
+				peers.exchange?.tellRollouts(peer, message);
+			},
+			onLanes(service) {
+				scheduler.onLanes(service);
+			},
+		})
+		: undefined;
 	const scheduler = createPlacementScheduler({
-		vm, dataCentre, bounds, clock, view, vms, log, loads, random,
+		vm, dataCentre, bounds, clock, view, vms, log, loads, random, ...(rollout && {rollout}),
 		isBehind: () => shed.share() > 0,
 		tellPeer(peer, service, message) {
 			peers.exchange?.tell(peer, service, message);
@@ -155,6 +168,7 @@
 		takeObserved: scheduler.takeObserved, onObserved: scheduler.onObserved,
 		newsWord: source.word, onNewsWord: source.onWord,
 		leavingTargets: scheduler.leavingTargets, onLeavingTargets: scheduler.onLeavingTargets,
+		...(rollout && {rollouts: () => ({announcements: rollout.announcements()}), onRollouts: rollout.onMessage}),
 	});
 	peers.exchange = exchange;
 	const serviceAt = (address: string) => [...view.targets().values()].find(target => target.address === address)?.service;
@@ -196,12 +210,20 @@
 		});
 	}
 
-	const isReady = () => !isLeaving && view.isComplete() && !shed.isOverloaded();
+	const isReady = () => !isLeaving && view.isComplete() && rollout?.isReady() !== false && !shed.isOverloaded();
 	const statusServers = await startStatus(options, {isReady, loads});
 	const address = await listenForCallers(servers, options.callers);
 	log.info('started', {vm, data_centre: dataCentre, callers: address});
 	source.start(news => {
 		for (const change of view.apply(news)) {
+			if (change.kind === 'rollout-order') {
+				rollout?.onOrder(change.service, change.row);
+			}
+
+			if (change.kind === 'target') {
+				rollout?.onTarget(change.target);
+			}
+
 			scheduler.onNews(change);
 			if (change.kind === 'config') {
 				metrics.configVersion.set(change.config.version);
@@ -211,6 +233,10 @@
 			}
 		}
 
+		if (news.kind === 'all-targets') {
+			rollout?.onTargetsRead();
+		}
+
 		metrics.targetsKnown.set(view.targets().size);
 		if (!wasReady && isReady()) {
 			wasReady = true;
@@ -230,6 +256,7 @@
 		await Promise.race([Promise.all(serverStops.map(async serverStop => serverStop.stop())), delay(Math.max(0, endByMs - clock.nowMs()))]);
 		log.info('stopped');
 		await source.stop();
+		rollout?.stop();
 		scheduler.stop();
 		loopDelay.stop();
 		exchange.close();
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -3,8 +3,10 @@
 import {type ReportedLoad} from '../../core/dispatch/types.js';
 import {type RefusalError} from '../../core/errors/refusal-error.js';
 import {type FleetBounds} from '../../core/placement/types.js';
+import {type ExposureBounds} from '../../core/rollout/types.js';
 import {type NewsWord} from '../../core/news/types.js';
 import {type FleetNews, type Route} from '../../core/routing/types.js';
+import {type RolloutStore} from '../rollout/types.js';
 import {type EntryLimits} from '../entry/types.js';
 import {type Headers, type Job, type TargetRequest} from '../entry/job.js';
 
@@ -69,6 +71,8 @@
 	readonly word: () => NewsWord;
 	/** Takes in what another VM said of its news. */
 	readonly onWord: (word: NewsWord) => void;
+	/** Rows about roll-outs; absent where there are none. */
+	readonly rollouts?: RolloutStore;
 };
 
 /** A request with the route that it takes. */
@@ -80,6 +84,8 @@
 export type RoutingBounds = FleetBounds & {
 	/** Milliseconds from a stop signal within which the process must have ended. */
 	readonly graceMs: number;
+	/** Absent when no roll-out is carried out. */
+	readonly exposure?: ExposureBounds;
 };
 
 export type RoutingLimits = EntryLimits & {
--- a/standins/works/works-store.ts
+++ b/standins/works/works-store.ts
@@ -12,6 +12,12 @@
 /** How the store treats calls. */
 export type StoreMood = 'well' | 'unavailable' | 'silent';
 
+/** What becomes of a conditional transaction: done as asked; done, or done later, without a response. */
+export type TransactionMood = 'well' | 'response-lost' | 'done-later';
+
+/** Milliseconds after which a transaction in the mood `done-later` is tried. */
+const LATER_MS = 1500;
+
 export type WorksStore = {
 	readonly address: string;
 	/** Writes a row as the operator or a target does. */
@@ -23,12 +29,15 @@
 	/** Forgets what changed before now. */
 	readonly loseHistory: () => void;
 	readonly setMood: (mood: StoreMood) => void;
+	/** Of conditional transactions alone. */
+	readonly setTransactionMood: (mood: TransactionMood) => void;
 	/** Calls that were answered or refused. */
 	readonly calls: () => number;
 	readonly close: () => Promise<void>;
 };
 
 const transactionSchema = z.looseObject({
+	expected_revision: z.array(z.looseObject({table: z.string(), key: z.string(), schema_version: z.number()})).default([]),
 	write: z.array(z.looseObject({table: z.string(), key: z.string(), value: z.string()})),
 });
 
@@ -44,6 +53,7 @@
 	let oldest = 0;
 	let calls = 0;
 	let mood: StoreMood = 'well';
+	let transactionMood: TransactionMood = 'well';
 
 	const write = (table: string, key: string, value: string | undefined): void => {
 		version++;
@@ -55,6 +65,20 @@
 		}
 	};
 
+	/** Rows that are written together have one version. */
+	const writeAll = (writes: ReadonlyArray<{readonly table: string; readonly key: string; readonly value: string}>): void => {
+		version++;
+		for (const {table, key, value} of writes) {
+			rows.set(`${table}/${key}`, {
+				table, key, value, version,
+			});
+		}
+
+		for (const wake of waiting) {
+			wake();
+		}
+	};
+
 	const toWire = ({table, key, value, version: at}: Row) => ({
 		table, part: '', key, schema_version: at, ...(value === undefined ? {deleted: true} : {value}),
 	});
@@ -96,11 +120,31 @@
 	};
 
 	const transact = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
-		for (const {table, key, value} of transactionSchema.parse(JSON.parse(await text(req))).write) {
-			write(table, key, value);
-		}
+		const {expected_revision: expected, write: writes} = transactionSchema.parse(JSON.parse(await text(req)));
+		const current = () => expected.flatMap(({table, key}) => rows.get(`${table}/${key}`) ?? []);
+		const holds = () => expected.every(({table, key, schema_version: at}) => {
+			const row = rows.get(`${table}/${key}`);
+			return (row?.value === undefined ? 0 : row.version) === at;
+		});
+		const apply = (): boolean => {
+			const isAllowed = holds();
+			if (isAllowed) {
+				writeAll(writes);
+			}
 
-		send(res, 200, {schema_version: version, now_ms: 0});
+			return isAllowed;
+		};
+
+		const lost = expected.length > 0 && transactionMood;
+		if (lost === 'done-later') {
+			setTimeout(() => {
+				apply();
+			}, LATER_MS);
+		} else if (!apply()) {
+			send(res, 412, {rows: current().map(row => toWire(row))});
+		} else if (lost !== 'response-lost') {
+			send(res, 200, {schema_version: version, now_ms: Date.now()});
+		}
 	};
 
 	const server = http.createServer();
@@ -143,6 +187,9 @@
 		setMood(next) {
 			mood = next;
 		},
+		setTransactionMood(next) {
+			transactionMood = next;
+		},
 		calls: () => calls,
 		async close() {
 			const closed = once(server, 'close');
--- a/standins/works/works-target.ts
+++ b/standins/works/works-target.ts
@@ -42,6 +42,10 @@
 	readonly cancelled: () => number;
 	/** Faults of the next requests, in order. */
 	readonly failNext: (...faults: readonly TargetFault[]) => void;
+	/** From now on each response comes so many milliseconds later. */
+	readonly slowDown: (byMs: number) => void;
+	/** From now on this part of the requests fails, evenly. */
+	readonly failShare: (share: number) => void;
 	readonly close: () => Promise<void>;
 };
 
@@ -67,6 +71,9 @@
 	const arrivals: Arrival[] = [];
 	const faults: TargetFault[] = [];
 	let cancelled = 0;
+	let laterMs = 0;
+	let failing = 0;
+	let failed = 0;
 
 	const headersOf = (req: IncomingMessage, fault: TargetFault | undefined): http.OutgoingHttpHeaders => ({
 		'x-attempt-id': fault === 'crossed-decline' ? 'of-another-request' : req.headers['x-attempt-id'],
@@ -181,7 +188,10 @@
 
 	const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
 		const body = await buffer(req);
-		const fault = faults.shift();
+		failed += failing;
+		const isFailing = failed >= 1;
+		failed -= isFailing ? 1 : 0;
+		const fault = faults.shift() ?? (isFailing ? 'error' : undefined);
 		const ran = fault !== 'decline' && fault !== 'decline-for-seconds' && fault !== 'endless-decline' && fault !== 'crossed-decline' && fault !== 'other-process';
 		arrivals.push({
 			method: req.method ?? '', path: req.url ?? '', headers: req.headers, body: body.toString(), ran,
@@ -195,6 +205,10 @@
 			return;
 		}
 
+		if (laterMs > 0) {
+			await delay(laterMs);
+		}
+
 		if (stream) {
 			await answerEvents(req, res, fault);
 		} else {
@@ -215,6 +229,12 @@
 		failNext(...next) {
 			faults.push(...next);
 		},
+		slowDown(byMs) {
+			laterMs = byMs;
+		},
+		failShare(share) {
+			failing = share;
+		},
 		async close() {
 			const closed = once(server, 'close');
 			server.close();
--- a/test/platform/_platform.ts
+++ b/test/platform/_platform.ts
@@ -94,9 +94,9 @@
 /** Delay of the event loop that no test reaches that is not about overload. */
 const UNHURRIED_MS = 10_000;
 
-export const settingsText = ([callers, admin, control, metrics]: readonly string[], store: string, behindMs = UNHURRIED_MS) => `
+export const settingsText = ([callers, admin, control, metrics]: readonly string[], store: string, behindMs = UNHURRIED_MS, {vm = 'edge-1', bounds = ''} = {}) => `
 [vm]
-id = "edge-1"
+id = "${vm}"
 data_centre = "dc-a"
 [listen]
 callers = "${callers ?? ''}"
@@ -116,7 +116,7 @@
 retry_window_s = 10
 retry_slack = 54
 grace_s = 2
-`;
+${bounds}`;
 
 /** Starts everything and resolves when the router is ready. */
 export const startPlatform = async (t: ExecutionContext, log?: Log, behindMs?: number): Promise<Platform> => {
