--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -50,7 +50,7 @@
 	readonly firstAttemptMs?: number;
 	/** Urgency by the configuration; 0 is the most urgent. */
 	readonly priority?: number;
-	/** Name of the route. */
+	/** Kind of request: the name of its route, by which versions of a service are compared too. */
 	readonly kind?: string;
 };
 
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -23,6 +23,7 @@
 import {createYoungCollector} from '../memory/young-collector.js';
 import {type Metrics} from '../observe/metrics.js';
 import {FleetLoads} from '../../core/placement/fleet-loads.js';
+import {createRolloutTask, type RolloutTask} from '../rollout/rollout-task.js';
 import {createFleetView} from './fleet-view.js';
 import {startLoadExchange, type LoadExchange} from './load-exchange.js';
 import {createPlacementScheduler} from './placement-scheduler.js';
@@ -167,8 +168,20 @@
 		return source.isCurrent();
 	};
 
+	const rollout: RolloutTask | undefined = bounds.exposure && source.rollouts
+		? createRolloutTask({
+			vm, incarnation, vms, bounds: bounds.exposure, store: source.rollouts, clock, wallMs: () => Date.now(), log, metrics, targets: view.targets,
+			isUsable: target => !target.isDraining && !view.isOut(target.dataCentre),
+			tellPeer(peer, message) {
+				peers.exchange?.tellRollouts(peer, message);
+			},
+			onLanes(service) {
+				scheduler.onLanes(service);
+			},
+		})
+		: undefined;
 	const scheduler = createPlacementScheduler({
-		vm, dataCentre, bounds, clock, view, vms, log, loads, random, isCurrent,
+		vm, dataCentre, bounds, clock, view, vms, log, loads, random, isCurrent, ...(rollout && {rollout}),
 		isBehind: () => shed.share() > 0,
 		tellPeer(peer, service, message) {
 			peers.exchange?.tell(peer, service, message);
@@ -193,6 +206,7 @@
 		takeObserved: scheduler.takeObserved, onObserved: scheduler.onObserved,
 		newsWord: source.word, onNewsWord: source.onWord,
 		leavingTargets: scheduler.leavingTargets, onLeavingTargets: scheduler.onLeavingTargets,
+		...(rollout && {rollouts: () => ({announcements: rollout.announcements()}), onRollouts: rollout.onMessage}),
 	});
 	peers.exchange = exchange;
 	const serviceAt = (address: string) => [...view.targets().values()].find(target => target.address === address)?.service;
@@ -240,12 +254,20 @@
 		});
 	}
 
-	const isReady = () => !isLeaving && view.isComplete() && isCurrent() && !(ingress.hasBudget ? ingress : shed).isOverloaded();
+	const isReady = () => !isLeaving && view.isComplete() && isCurrent() && rollout?.isReady() !== false && !(ingress.hasBudget ? ingress : shed).isOverloaded();
 	const statusServers = await startStatus(options, {isReady, loads, held});
 	const address = await listenForCallers(servers, options.callers);
 	log.info('started', {vm, data_centre: dataCentre, callers: address});
 	source.start(news => {
 		for (const change of view.apply(news)) {
+			if (change.kind === 'rollout-order') {
+				rollout?.onOrder(change.service, change.row);
+			}
+
+			if (change.kind === 'target') {
+				rollout?.onTarget(change.target);
+			}
+
 			scheduler.onNews(change);
 			if (change.kind === 'config') {
 				metrics.configVersion.set(change.config.version);
@@ -255,6 +277,10 @@
 			}
 		}
 
+		if (news.kind === 'all-targets') {
+			rollout?.onTargetsRead();
+		}
+
 		metrics.targetsKnown.set(view.targets().size);
 		if (!wasReady && isReady()) {
 			wasReady = true;
@@ -275,6 +301,7 @@
 		report.end(clock.nowMs());
 		log.info('stopped');
 		await source.stop();
+		rollout?.stop();
 		scheduler.stop();
 		loopDelay.stop();
 		held.stop();
