Pass headers on without intermediate lists

Cause: `passHeaders` runs twice for each request, over lists of entries.

Change: one loop over the names.

--- a/src/runtime/entry/headers.ts
+++ b/src/runtime/entry/headers.ts
@@ -16,9 +16,19 @@
 const targetsOnly: ReadonlySet<string> = new Set(['x-request-id', 'x-instance-id', 'content-length', 'date']);
 
 /** All headers but the dropped ones and those that concern one connection only. */
-export const passHeaders = (headers: IncomingHttpHeaders, dropped: ReadonlySet<string>): Headers =>
-	Object.fromEntries(Object.entries(headers).flatMap(([name, value]) =>
-		value === undefined || hopByHop.has(name) || dropped.has(name) ? [] : [[name, value] as const]));
+export const passHeaders = (headers: IncomingHttpHeaders, dropped: ReadonlySet<string>): Headers => {
+	const passed: Record<string, string | string[]> = {};
+	for (const name in headers) {
+		if (Object.hasOwn(headers, name) && !hopByHop.has(name) && !dropped.has(name)) {
+			const value = headers[name];
+			if (value !== undefined) {
+				passed[name] = value;
+			}
+		}
+	}
+
+	return passed;
+};
 
 /** Headers that go on to the target. The caller's token does not. */
 export const headersForTarget = (headers: IncomingHttpHeaders): Headers => passHeaders(headers, callersOnly);
