A planned stop reads kept connections once more before it closes them

Cause: `server.close()` of Node closes idle connections at once, and the stop did so again after each answer: also those whose next request had arrived but was not read yet.

Change: the stop lets the event loop read (and accept what waits) before it takes no new connections and before each closing of idle ones.

Result: test/entry/server-stop.test.ts failed before, with all of 10 requests lost that had arrived on kept connections, and passes now. Not ruled out: a caller that sends while the end of its idle connection is on its way.

--- a/src/runtime/entry/server-stop.ts
+++ b/src/runtime/entry/server-stop.ts
@@ -1,6 +1,11 @@
 /** The graceful stop of an HTTP server: every answer ends, then every connection. */
 import {once} from 'node:events';
 import {type Server, type ServerResponse} from 'node:http';
+import {Server as NetServer} from 'node:net';
+import {setImmediate as turn} from 'node:timers/promises';
+
+/** Turns of the event loop that are waited at most for connections that have been opened but not accepted; one is accepted a turn. */
+const MAX_ACCEPT_TURNS = 64;
 
 export type ServerStop = {
 	/**
@@ -20,13 +25,42 @@
 	const answers = new Set<ServerResponse>();
 	let leaving = false;
 	let stopping = false;
+	let accepted = 0;
+	let isClosingIdle = false;
+
+	server.on('connection', () => {
+		accepted++;
+	});
+
+	/**
+	 * Resolves once the connections have been read: the first turn ends in the loop's current
+	 * round, the second after it has read. Goes on while connections are accepted.
+	 */
+	const nextReads = async (): Promise<void> => {
+		let before = -1;
+		for (let turns = 0; turns < MAX_ACCEPT_TURNS && before !== accepted; turns += 2) {
+			before = accepted;
+			await turn(); // eslint-disable-line no-await-in-loop
+			await turn(); // eslint-disable-line no-await-in-loop
+		}
+	};
+
+	/** Closes idle connections, but none whose next request has arrived and was not read yet. */
+	const closeIdle = async (): Promise<void> => {
+		if (!isClosingIdle) {
+			isClosingIdle = true;
+			await nextReads();
+			isClosingIdle = false;
+			server.closeIdleConnections();
+		}
+	};
 
 	server.on('request', (_, res) => {
 		answers.add(res);
 		res.once('close', () => {
 			answers.delete(res);
 			if (stopping) {
-				server.closeIdleConnections();
+				void closeIdle();
 			}
 		});
 		if (leaving) {
@@ -41,8 +75,11 @@
 		async stop() {
 			leaving = true;
 			stopping = true;
+			await nextReads();
 			const ended = once(server, 'close');
-			server.close();
+			// The HTTP server's own method closes idle connections at once, also those with an unread request.
+			NetServer.prototype.close.call(server);
+			void closeIdle();
 			// A closed server no longer times out slow requests itself.
 			const timer = setInterval(() => {
 				if (answers.size === 0) {
--- /dev/null
+++ b/test/entry/server-stop.test.ts
@@ -0,0 +1,89 @@
+/** The planned stop of an HTTP server with kept connections. */
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import {connect, type Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {createServerStop} from '../../src/runtime/entry/server-stop.js';
+
+const REQUEST = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n';
+
+const startServer = async (t: ExecutionContext, answerMs = 0) => {
+	const server = createServer((_, res) => {
+		setTimeout(() => {
+			res.end('whole');
+		}, answerMs);
+	});
+	const serverStop = createServerStop(server, 500);
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const address = server.address();
+	const port = typeof address === 'object' ? address?.port ?? 0 : 0;
+	t.teardown(() => {
+		server.closeAllConnections();
+		server.close();
+	});
+
+	/** Opens a connection that has had one answer and is idle. */
+	const openIdle = async () => {
+		const caller = connect(port, '127.0.0.1');
+		let text = '';
+		caller.on('data', (chunk: Uint8Array) => {
+			text += new TextDecoder().decode(chunk);
+		});
+		caller.on('error', () => undefined);
+		caller.write(REQUEST);
+		while (!text.includes('whole')) {
+			await delay(2); // eslint-disable-line no-await-in-loop
+		}
+
+		const closed = new Promise<void>(resolve => {
+			caller.once('close', () => {
+				resolve();
+			});
+		});
+		return {caller, closed, answers: () => text.split('whole').length - 1};
+	};
+
+	return {serverStop, openIdle};
+};
+
+/** Hands what was written to the system, without letting the server of this process read it. */
+const written = async (caller: Socket): Promise<void> => new Promise(resolve => {
+	caller.write(REQUEST, () => {
+		resolve();
+	});
+});
+
+test('a request that has arrived on a kept connection but was not read yet is answered before the stop', async t => {
+	const {serverStop, openIdle} = await startServer(t);
+	const callers = await Promise.all(Array.from({length: 10}, async () => openIdle()));
+	// The stop begins in the same turn as the write, before the server has read again.
+	const writes = callers.map(async ({caller}) => written(caller));
+	const stopped = serverStop.stop();
+	await Promise.all([...writes, stopped, ...callers.map(async ({closed}) => closed)]);
+	t.deepEqual(callers.map(({answers}) => answers()), callers.map(() => 2));
+});
+
+test('a request that arrives while another one is answered during the stop is not cut', async t => {
+	const {serverStop, openIdle} = await startServer(t, 20);
+	const [first, second] = await Promise.all([openIdle(), openIdle()]);
+	await written(first.caller);
+	await delay(5);
+	const stopped = serverStop.stop();
+	first.caller.on('data', () => {
+		second.caller.write(REQUEST);
+	});
+	await Promise.all([stopped, first.closed, second.closed]);
+	t.is(first.answers(), 2);
+});
+
+test('idle connections are closed, and the stop ends soon', async t => {
+	const {serverStop, openIdle} = await startServer(t);
+	const {closed, answers} = await openIdle();
+	const startMs = performance.now();
+	await serverStop.stop();
+	await closed;
+	t.true(performance.now() - startMs < 450);
+	t.is(answers(), 1);
+});
