--- a/src/runtime/entry/listen.ts
+++ b/src/runtime/entry/listen.ts
@@ -16,7 +16,7 @@
 const SHARES_PORT_SINCE: readonly [number, number] = [22, 12];
 
 /** Whether several listeners of this process can share an address on this system and runtime. */
-export const canSharePort = (version = process.versions.node, {platform} = process): boolean => {
+export const canSharePort = (version = process.versions.node, platform: string = process.platform): boolean => {
 	const [major = 0, minor = 0] = version.split('.').map(Number);
 	const [sinceMajor, sinceMinor] = SHARES_PORT_SINCE;
 	return platform === 'linux' && (major > sinceMajor || (major === sinceMajor && minor >= sinceMinor));
