--- a/src/core/placement/messages.ts
+++ b/src/core/placement/messages.ts
@@ -40,6 +40,9 @@
 	| {readonly kind: 'peer'; readonly from: string; readonly message: PeerMessage}
 	| {readonly kind: 'tick'};
 
+/** `no-turn`: it could not get its turn while its caller stays. */
+export type PlacementRejection = 'no-target' | 'too-late' | 'no-turn';
+
 export type PlacementEffect =
 	/** Goes to another VM as soon as possible; it may be lost. */
 	| ({readonly kind: 'tell-peer'} & Outgoing)
@@ -47,8 +50,7 @@
 	| {
 		readonly kind: 'reject';
 		readonly ask: PlacedAsk;
-		/** `no-turn`: it could not get its turn while its caller stays. */
-		readonly reason: 'no-target' | 'too-late' | 'no-turn';
+		readonly reason: PlacementRejection;
 		readonly retryAfterMs: number;
 		readonly givesWay: boolean;
 		/** Where it stood when it began to wait. */
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -108,6 +108,10 @@
 		return this.#queue.size;
 	}
 
+	get waitingByTier(): Readonly<Record<Tier, number>> {
+		return {'in-time': this.#queue.sizeOf('in-time'), late: this.#queue.sizeOf('late')};
+	}
+
 	/** What this VM reports of its teams. */
 	teamLoads(nowMs: number): readonly TeamLoad[] {
 		const sums = this.#shares.own(nowMs);
--- a/src/runtime/observe/metrics.ts
+++ b/src/runtime/observe/metrics.ts
@@ -27,6 +27,10 @@
 		streamResumes: new Counter({
 			name: 'jackdawwood_stream_resumes_total', help: 'Attempts to resume a broken stream.', labelNames: ['result'] as const, registers,
 		}),
+		queueOutcomes: new Counter({
+			name: 'jackdawwood_queue_outcomes_total', help: 'Requests that were given a target or refused one, by the tier of the queue in which they were.',
+			labelNames: ['service', 'tier', 'outcome'] as const, registers,
+		}),
 		cancels: new Counter({
 			name: 'jackdawwood_cancels_total', help: 'Runs cancelled at the target.', labelNames: ['result'] as const, registers,
 		}),
@@ -90,6 +94,9 @@
 		leases: new Gauge({
 			name: 'jackdawwood_leases_held', help: 'Pools that this VM dispatches.', registers,
 		}),
+		queueWaiting: new Gauge({
+			name: 'jackdawwood_queue_waiting', help: 'Requests that wait for a target.', labelNames: ['service', 'tier'] as const, registers,
+		}),
 		targetsKnown: new Gauge({
 			name: 'jackdawwood_targets_known', help: 'Targets that this VM knows of.', registers,
 		}),
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -4,11 +4,12 @@
 import {RefusalError} from '../../core/errors/refusal-error.js';
 import {DeadlinePassed, DeadlineUnreachable, NoTarget} from '../../core/errors/refusals-data.js';
 import {
-	type LeavingTarget, type ObservedLoad, type PlacementEffect, type PlacementMessage,
+	type LeavingTarget, type ObservedLoad, type PlacementEffect, type PlacementMessage, type PlacementRejection,
 } from '../../core/placement/messages.js';
 import {type FleetLoads, type TargetLoad, type TeamLoad} from '../../core/placement/fleet-loads.js';
 import {type SentPrompt} from '../../core/placement/prompt-record.js';
 import {type PeerMessage} from '../../core/placement/reservations.js';
+import {type Tier} from '../../core/placement/service-queue.js';
 import {ServicePlacement} from '../../core/placement/service-placement.js';
 import {type FleetBounds, type PlacedAsk} from '../../core/placement/types.js';
 import {type FleetNews} from '../../core/routing/types.js';
@@ -37,6 +38,8 @@
 	readonly random: () => number;
 	/** Whether this VM is behind its work. */
 	readonly isBehind: () => boolean;
+	/** Counts requests that left the queue; one that never waited counts as in time. */
+	readonly countOutcome: (labels: {readonly service: string; readonly tier: Tier; readonly outcome: 'started' | PlacementRejection}) => void;
 	/** Sends a message to another VM; it may be lost. */
 	readonly tellPeer: (vm: string, service: string, message: PeerMessage) => void;
 };
@@ -61,8 +64,8 @@
 	readonly onLeavingTargets: (leaving: readonly LeavingTarget[]) => void;
 	/** Takes in what another VM says of reservations. */
 	readonly onPeer: (from: string, service: string, message: PeerMessage) => void;
-	/** Asks that wait, by service. */
-	readonly waiting: () => ReadonlyMap<string, number>;
+	/** Asks that wait, by service and tier. */
+	readonly waiting: () => ReadonlyMap<string, Readonly<Record<Tier, number>>>;
 };
 
 const refusalOf = {'no-target': NoTarget, 'too-late': DeadlinePassed, 'no-turn': DeadlineUnreachable} as const;
@@ -72,7 +75,7 @@
 	readonly reject: (err: RefusalError) => void;
 };
 
-export const createPlacementScheduler = ({vm, dataCentre, bounds, clock, view, vms, log, loads, random, isBehind, tellPeer}: PlacementSchedulerOptions): PlacementScheduler => {
+export const createPlacementScheduler = ({vm, dataCentre, bounds, clock, view, vms, log, loads, random, isBehind, countOutcome, tellPeer}: PlacementSchedulerOptions): PlacementScheduler => {
 	const placements = new Map<string, ServicePlacement>();
 	const waiters = new Map<string, Waiter>();
 	const serviceOfGrant = new Map<string, string>();
@@ -91,6 +94,7 @@
 				continue;
 			}
 
+			countOutcome({service, tier: effect.queue?.tier ?? 'in-time', outcome: effect.kind === 'reject' ? effect.reason : 'started'});
 			const waiter = waiters.get(effect.ask.requestId);
 			waiters.delete(effect.ask.requestId);
 			if (effect.kind === 'reject') {
@@ -269,6 +273,6 @@
 				}
 			}
 		},
-		waiting: () => new Map([...placements].map(([service, placement]) => [service, placement.waiting])),
+		waiting: () => new Map([...placements].map(([service, placement]) => [service, placement.waitingByTier])),
 	};
 };
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -18,7 +18,7 @@
 import {FleetLoads} from '../../core/placement/fleet-loads.js';
 import {createFleetView} from './fleet-view.js';
 import {startLoadExchange, type LoadExchange} from './load-exchange.js';
-import {createPlacementScheduler} from './placement-scheduler.js';
+import {createPlacementScheduler, type PlacementScheduler} from './placement-scheduler.js';
 import {createRelayCalls} from './relay-call.js';
 import {serveRequest, type ServeContext} from './serve-request.js';
 import {
@@ -103,9 +103,9 @@
 	return address;
 };
 
-type Status = {readonly isReady: () => boolean; readonly loads: FleetLoads};
+type Status = {readonly isReady: () => boolean; readonly loads: FleetLoads; readonly waiting: PlacementScheduler['waiting']};
 
-const startStatus = async ({ready, metricsAddress, metrics, source}: RoutingOptions, {isReady, loads}: Status): Promise<readonly http.Server[]> => {
+const startStatus = async ({ready, metricsAddress, metrics, source}: RoutingOptions, {isReady, loads, waiting}: Status): Promise<readonly http.Server[]> => {
 	const readyServer = http.createServer();
 	const metricsServer = http.createServer();
 	readyServer.on('request', polka({server: readyServer})
@@ -116,6 +116,11 @@
 	metricsServer.on('request', polka({server: metricsServer})
 		.get('/metrics', async (_req, res) => {
 			metrics.vmsHeard.set(loads.heard);
+			for (const [service, tiers] of waiting()) {
+				metrics.queueWaiting.set({service, tier: 'in-time'}, tiers['in-time']);
+				metrics.queueWaiting.set({service, tier: 'late'}, tiers.late);
+			}
+
 			metrics.fleetNewsAge.set(source.newsAgeMs() / 1000);
 			res.writeHead(200, {'content-type': metrics.registry.contentType}).end(await metrics.registry.metrics());
 		})
@@ -136,6 +141,9 @@
 	const scheduler = createPlacementScheduler({
 		vm, dataCentre, bounds, clock, view, vms, log, loads, random,
 		isBehind: () => shed.share() > 0,
+		countOutcome(labels) {
+			metrics.queueOutcomes.inc(labels);
+		},
 		tellPeer(peer, service, message) {
 			peers.exchange?.tell(peer, service, message);
 		},
@@ -197,7 +205,7 @@
 	}
 
 	const isReady = () => !isLeaving && view.isComplete() && !shed.isOverloaded();
-	const statusServers = await startStatus(options, {isReady, loads});
+	const statusServers = await startStatus(options, {isReady, loads, waiting: scheduler.waiting});
 	const address = await listenForCallers(servers, options.callers);
 	log.info('started', {vm, data_centre: dataCentre, callers: address});
 	source.start(news => {
--- /dev/null
+++ b/test/routing/placement-fields.test.ts
@@ -0,0 +1,27 @@
+import test from 'ava';
+import {rejectFields} from '../../src/runtime/routing/placement-fields.js';
+import {ask} from '../placement/_service.js';
+
+const rejected = (changes: Partial<Parameters<typeof rejectFields>[1]>) => rejectFields('tariff', {
+	kind: 'reject', ask: {...ask('team', 100), requestId: 'r1'}, reason: 'no-turn', retryAfterMs: 412.6, givesWay: false, ...changes,
+}, 120);
+
+test('the line of a refused request tells where it stood in the queue', t => {
+	t.like(rejected({
+		queue: {
+			tier: 'late', position: 12, costAhead: 3400.4, costPerMs: 1.5,
+		},
+	}), {
+		tier: 'late', position: 12, cost_ahead: 3400, drain_per_s: 1500, reason: 'no-turn', retry_after_ms: 413, waited_ms: 20,
+	});
+});
+
+test('a queue without history names no rate', t => {
+	const fields = rejected({
+		queue: {
+			tier: 'in-time', position: 0, costAhead: 0, costPerMs: undefined,
+		},
+	});
+	t.false('drain_per_s' in fields);
+	t.false('tier' in rejected({}));
+});
