Priority of teams before that of routes; decoding tests

Cause: with a team's priority in place of its route's, kinds could not be told apart where every team names one.

Change: one number holds both, the team's first.

--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -48,7 +48,7 @@
 	readonly callerLeavesMs?: number;
 	/** Monotonic milliseconds of the caller's first attempt, going by the time that it has left; absent when this is the first. */
 	readonly firstAttemptMs?: number;
-	/** Urgency by the configuration; 0 is the most urgent. */
+	/** Urgency by the configuration; the least is the most urgent. */
 	readonly priority?: number;
 	/** Name of the route. */
 	readonly kind?: string;
--- a/src/runtime/entry/job.ts
+++ b/src/runtime/entry/job.ts
@@ -47,7 +47,7 @@
 	readonly patienceMs?: number;
 	/** Monotonic milliseconds of the caller's first attempt, going by the time that it has left. */
 	readonly firstAttemptMs?: number;
-	/** Urgency of the team or the route; 0 is the most urgent. */
+	/** Urgency of the team, then of the route; the least is the most urgent. */
 	readonly priority?: number;
 	readonly prompt?: Prompt;
 };
--- a/src/runtime/routing/route-request.ts
+++ b/src/runtime/routing/route-request.ts
@@ -4,6 +4,7 @@
 import {
 	NotReady, NoTarget, Unauthenticated, UnknownRoute,
 } from '../../core/errors/refusals-data.js';
+import {DEFAULT_PRIORITY} from '../../core/placement/team-queues.js';
 import {chooseService} from '../../core/routing/route-table.js';
 import {type Route} from '../../core/routing/types.js';
 import {type ServiceConfig} from '../../core/world/fleet-config.js';
@@ -16,6 +17,13 @@
 /** Team of requests that need no key. */
 const OPEN_TEAM = '(open)';
 
+/** Priorities of routes that are told apart within one of a team. */
+const ROUTE_PRIORITIES = 1000;
+
+/** One number for both priorities: that of the team comes first, and that of the route decides among equal ones. */
+const orderOf = (team = DEFAULT_PRIORITY, route = DEFAULT_PRIORITY): number =>
+	(team * ROUTE_PRIORITIES) + Math.min(ROUTE_PRIORITIES - 1, Math.max(0, route));
+
 /** Finds the route and the team of a request, or throws a typed refusal. */
 export const routeRequest = (view: FleetView, head: RoutedHead, path: string): Routed => {
 	const inForce = view.inForce();
@@ -34,8 +42,7 @@
 		throw new RefusalError(Unauthenticated);
 	}
 
-	const priority = (team === undefined ? undefined : config.teamPriorities?.get(team)) ?? route.priority;
-	return {route, team, priority};
+	return {route, team, priority: orderOf(team === undefined ? undefined : config.teamPriorities?.get(team), route.priority)};
 };
 
 const repeatOf = ({kind, isResumable}: Route): ServiceConfig['repeat'] =>
@@ -77,7 +84,7 @@
 			name: route.name, maxTargets: route.maxTargets, isResumable: route.isResumable, endByMs, callerWaitsUntilMs, targetLatencyMs: route.targetLatencyMs,
 			firstAttemptMs,
 			...(route.patienceMs !== undefined && {patienceMs: route.patienceMs}),
-			...(priority !== undefined && {priority}),
+			priority,
 			...(prompt && {prompt}),
 		},
 	};
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -75,8 +75,8 @@
 export type Routed = {
 	readonly route: Route;
 	readonly team: string | undefined;
-	/** Urgency of the team, else of the route; absent when neither has one. */
-	readonly priority: number | undefined;
+	/** Urgency of the team, then of the route; the least is the most urgent. */
+	readonly priority: number;
 };
 
 export type RoutingBounds = FleetBounds & {
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -21,6 +21,29 @@
 	t.deepEqual(routes[0]?.services, split);
 });
 
+test('callers leave a stream after the longest of 2 s, four latency targets and eight pauses, and wait for their deadline else', t => {
+	const wire = configOf(7);
+	const patienceOf = (fields: Readonly<Record<string, unknown>>) => decodeConfig(bytesOf({...wire, routes: [{...wire.routes[0], ...fields}]})).routes[0]?.patienceMs;
+	t.deepEqual([
+		patienceOf({target_latency_ms: 300}),
+		patienceOf({target_latency_ms: 900}),
+		patienceOf({target_latency_ms: 300, target_gap_ms: 400}),
+		patienceOf({type: 'idempotent', target_latency_ms: 900}),
+	], [2000, 3600, 3200, undefined]);
+});
+
+test('priorities of routes and teams are decoded, and absent ones stay so', t => {
+	const wire = configOf(7);
+	const [first, second] = wire.routes;
+	const {routes, teamPriorities} = decodeConfig(bytesOf({
+		...wire,
+		routes: [{...first, priority: 0}, {...second, priority: undefined}],
+		tenants: [{name: 'a', api_keys: ['ka'], priority: 2}, {name: 'b', api_keys: ['kb']}],
+	}));
+	t.deepEqual(routes.map(({priority}) => priority), [0, undefined]);
+	t.deepEqual([...teamPriorities ?? []], [['a', 2]]);
+});
+
 test('fields that are not known are ignored', t => {
 	t.is(decodeConfig(bytesOf({...configOf(8), something: 1})).version, 8);
 });
