--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -8,13 +8,14 @@
 import {RefusalError} from '../../core/errors/refusal-error.js';
 import {DeadlinePassed, DeadlineUnreachable, NoTarget} from '../../core/errors/refusals-data.js';
 import {
-	type LeavingTarget, type ObservedLoad, type PlacementEffect, type PlacementMessage,
+	type LeavingTarget, type ObservedLoad, type PlacementEffect, type PlacementMessage, type PlacementRejection,
 } from '../../core/placement/messages.js';
 import {type Loss, type WaitLimits} from '../../core/placement/awaited-starts.js';
 import {planExchange} from '../../core/placement/exchange-plan.js';
 import {type FleetLoads, type TargetLoad, type TeamLoad} from '../../core/placement/fleet-loads.js';
 import {type SentPrompt} from '../../core/placement/prompt-record.js';
 import {type PeerMessage} from '../../core/placement/reservations.js';
+import {type Tier} from '../../core/placement/service-queue.js';
 import {ServicePlacement} from '../../core/placement/service-placement.js';
 import {type FleetBounds, type PlacedAsk} from '../../core/placement/types.js';
 import {coldLimit} from '../../core/placement/cold-limit.js';
@@ -54,6 +55,8 @@
 	readonly isBehind: () => boolean;
 	/** Absent when versions of targets are ignored. */
 	readonly rollout?: Pick<RolloutTask, 'evidence' | 'lanes' | 'goesToNext' | 'maySend'>;
+	/** Counts requests that left the queue; one that never waited counts as in time. */
+	readonly countOutcome: (labels: {readonly service: string; readonly tier: Tier; readonly outcome: 'started' | PlacementRejection}) => void;
 	/** Sends a message to another VM; it may be lost. */
 	readonly tellPeer: (vm: string, service: string, message: PeerMessage) => void;
 };
@@ -98,8 +101,8 @@
 	readonly onLeavingTargets: (leaving: readonly LeavingTarget[]) => void;
 	/** Takes in what another VM says of reservations. */
 	readonly onPeer: (from: string, service: string, message: PeerMessage) => void;
-	/** Asks that wait, by service. */
-	readonly waiting: () => ReadonlyMap<string, number>;
+	/** Asks that wait, by service and tier. */
+	readonly waiting: () => ReadonlyMap<string, Readonly<Record<Tier, number>>>;
 };
 
 const refusalOf = {'no-target': NoTarget, 'too-late': DeadlinePassed, 'no-turn': DeadlineUnreachable} as const;
@@ -141,7 +144,7 @@
 	return [...merged.values()];
 };
 
-export const createPlacementScheduler = ({vm, dataCentre, bounds, clock, view, vms, log, loads, random, isCurrent = () => true, isBehind, rollout, tellPeer}: PlacementSchedulerOptions): PlacementScheduler => {
+export const createPlacementScheduler = ({vm, dataCentre, bounds, clock, view, vms, log, loads, random, isCurrent = () => true, isBehind, rollout, countOutcome, tellPeer}: PlacementSchedulerOptions): PlacementScheduler => {
 	const lanesOf = new Map<string, ServiceLanes>();
 	/** Lanes that get no more requests and whose last ones run to their end. */
 	const retired = new Set<Lane>();
@@ -172,6 +175,7 @@
 				continue;
 			}
 
+			countOutcome({service, tier: effect.queue?.tier ?? 'in-time', outcome: effect.kind === 'reject' ? effect.reason : 'started'});
 			const waiter = waiters.get(effect.ask.requestId);
 			waiters.delete(effect.ask.requestId);
 			if (effect.kind === 'reject') {
@@ -546,9 +550,10 @@
 			}
 		},
 		waiting() {
-			const waiting = new Map<string, number>();
-			for (const {service, placement} of allLanes()) {
-				waiting.set(service, (waiting.get(service) ?? 0) + placement.waiting);
+			const waiting = new Map<string, Record<Tier, number>>();
+			for (const {service, placement: {waitingByTier}} of allLanes()) {
+				const sum = waiting.get(service);
+				waiting.set(service, {'in-time': (sum?.['in-time'] ?? 0) + waitingByTier['in-time'], late: (sum?.late ?? 0) + waitingByTier.late});
 			}
 
 			return waiting;
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -26,7 +26,7 @@
 import {createRolloutTask, type RolloutTask} from '../rollout/rollout-task.js';
 import {createFleetView} from './fleet-view.js';
 import {startLoadExchange, type LoadExchange} from './load-exchange.js';
-import {createPlacementScheduler} from './placement-scheduler.js';
+import {createPlacementScheduler, type PlacementScheduler} from './placement-scheduler.js';
 import {createRelayCalls} from './relay-call.js';
 import {serveRequest, type ServeContext} from './serve-request.js';
 import {
@@ -113,9 +113,9 @@
 	return address;
 };
 
-type Status = {readonly isReady: () => boolean; readonly loads: FleetLoads; readonly held: HeldAccounts};
+type Status = {readonly isReady: () => boolean; readonly loads: FleetLoads; readonly held: HeldAccounts; readonly waiting: PlacementScheduler['waiting']};
 
-const startStatus = async ({ready, metricsAddress, metrics, source}: RoutingOptions, {isReady, loads, held}: Status): Promise<readonly http.Server[]> => {
+const startStatus = async ({ready, metricsAddress, metrics, source}: RoutingOptions, {isReady, loads, held, waiting}: Status): Promise<readonly http.Server[]> => {
 	const readyServer = http.createServer();
 	const metricsServer = http.createServer();
 	readyServer.on('request', polka({server: readyServer})
@@ -130,6 +130,11 @@
 				metrics.heldBytes.set({part}, bytes);
 			}
 
+			for (const [service, tiers] of waiting()) {
+				metrics.queueWaiting.set({service, tier: 'in-time'}, tiers['in-time']);
+				metrics.queueWaiting.set({service, tier: 'late'}, tiers.late);
+			}
+
 			metrics.fleetNewsAge.set(source.newsAgeMs() / 1000);
 			res.writeHead(200, {'content-type': metrics.registry.contentType}).end(await metrics.registry.metrics());
 		})
@@ -183,6 +188,9 @@
 	const scheduler = createPlacementScheduler({
 		vm, dataCentre, bounds, clock, view, vms, log, loads, random, isCurrent, ...(rollout && {rollout}),
 		isBehind: () => shed.share() > 0,
+		countOutcome(labels) {
+			metrics.queueOutcomes.inc(labels);
+		},
 		tellPeer(peer, service, message) {
 			peers.exchange?.tell(peer, service, message);
 		},
@@ -255,7 +263,9 @@
 	}
 
 	const isReady = () => !isLeaving && view.isComplete() && isCurrent() && rollout?.isReady() !== false && !(ingress.hasBudget ? ingress : shed).isOverloaded();
-	const statusServers = await startStatus(options, {isReady, loads, held});
+	const statusServers = await startStatus(options, {
+		isReady, loads, held, waiting: scheduler.waiting,
+	});
 	const address = await listenForCallers(servers, options.callers);
 	log.info('started', {vm, data_centre: dataCentre, callers: address});
 	source.start(news => {
