A VM that refuses a flood leaves rotation, and refused callers keep their connections

Cause: the balancer sends a caller to the same VM when it comes back after a refusal.

A refusal no longer closes its connection: another one costs more than the next request.

--- a/src/runtime/entry/quick-refusal.ts
+++ b/src/runtime/entry/quick-refusal.ts
@@ -1,5 +1,6 @@
 /**
- * A refusal at little cost: one write without a body, after which the connection is closed.
+ * A refusal at little cost: one write without a body. The connection stays open, since a
+ * caller that opens another one costs more than its next request.
  * Handles a VM that refuses several hundred requests a second.
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
@@ -46,14 +47,15 @@
 };
 
 /**
- * Writes an answer and closes the connection. A connection that is closed with unread bytes
- * is reset, and the refusal lost, so a body is read first, within bounds.
+ * Writes an answer. A connection that is closed with unread bytes is reset, and the refusal
+ * lost, so a body is read first, within bounds.
  */
 export const refuseAtOnce = (req: IncomingMessage, res: ServerResponse, {status, headers}: QuickAnswer): void => {
 	const write = () => {
 		res.sendDate = false;
-		res.shouldKeepAlive = false;
-		res.writeHead(status, [...headers, 'content-length', '0', 'connection', 'close']);
+		// The rest of a body that is still arriving is not read.
+		res.shouldKeepAlive &&= req.complete;
+		res.writeHead(status, [...headers, 'content-length', '0']);
 		res.end();
 		if (!res.writableFinished && req.socket.writableLength > 0) {
 			const timer = setTimeout(() => {
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -6,6 +6,7 @@
 import {createIngress} from '../../core/admission/ingress.js';
 import {createLoadShed} from '../../core/admission/load-shed.js';
 import {createRefusalSummary} from '../../core/admission/refusal-summary.js';
+import {createRotation} from '../../core/admission/rotation.js';
 import {createPauseWatch} from '../../core/pause-watch.js';
 import {memoryBounds} from '../../core/memory/held-memory.js';
 import {createTeamGate} from '../../core/admission/team-gate.js';
@@ -160,6 +161,7 @@
 	const ingress = createIngress({
 		processorShare: limits.processorShare, processors: limits.processors ?? 1, usedMs: cpuMs, idleMs, open: () => openRequests,
 	});
+	const rotation = createRotation();
 	const refusals = createRefusalSummary();
 	const report = createIngressReport({
 		log, metrics, ingress, refusals,
@@ -202,6 +204,7 @@
 			isCurrent();
 			shed.noteDelay(delayMs);
 			ingress.tick(nowMs);
+			rotation.look(ingress.refusedPart(), nowMs);
 			metrics.shedShare.set(shed.share());
 			report.look(nowMs);
 		},
@@ -262,7 +265,8 @@
 		});
 	}
 
-	const isReady = () => !isLeaving && view.isComplete() && isCurrent() && rollout?.isReady() !== false && !(ingress.hasBudget ? ingress : shed).isOverloaded();
+	const isOverloaded = () => ingress.hasBudget ? rotation.isOut() || ingress.isOverloaded() : shed.isOverloaded();
+	const isReady = () => !isLeaving && view.isComplete() && isCurrent() && rollout?.isReady() !== false && !isOverloaded();
 	const statusServers = await startStatus(options, {
 		isReady, loads, held, waiting: scheduler.waiting,
 	});
--- /dev/null
+++ b/test/admission/rotation.test.ts
@@ -0,0 +1,34 @@
+/** Guards against callers that come back to the VM that refused them, and against a VM that stays out for good. */
+import test from 'ava';
+import {createRotation} from '../../src/core/admission/rotation.js';
+
+const LOOK_MS = 250;
+
+/** Looks from `fromMs` on; returns the times at which the VM was out. */
+const run = (refusedAt: (nowMs: number) => number, untilMs: number): readonly number[] => {
+	const rotation = createRotation();
+	const out: number[] = [];
+	for (let nowMs = 0; nowMs < untilMs; nowMs += LOOK_MS) {
+		rotation.look(refusedAt(nowMs), nowMs);
+		if (rotation.isOut()) {
+			out.push(nowMs);
+		}
+	}
+
+	return out;
+};
+
+test('a VM that refuses most of a flood leaves rotation within half a second and returns after it', t => {
+	const out = run(nowMs => nowMs >= 2000 && nowMs < 5000 ? 0.8 : 0, 12_000);
+	t.true((out[0] ?? Infinity) <= 2500, `out from ${out[0]} ms`);
+	t.true((out.at(-1) ?? 0) < 9000, `out until ${out.at(-1)} ms`);
+});
+
+test('a VM that refuses all the time is in rotation for a fifth of it', t => {
+	const out = run(() => 1, 60_000);
+	t.true(out.length * LOOK_MS <= 60_000 * 0.82, `${out.length * LOOK_MS} ms out`);
+});
+
+test('a VM that refuses a burst for a moment stays in rotation', t => {
+	t.deepEqual(run(nowMs => nowMs === 1000 ? 0.4 : 0, 4000), []);
+});
