Bound the tries of late requests in a round; test of the scheduler's wiring

Cause: each waiting late request could ask another VM for room every 30 ms, more calls than a VM of a quarter of a CPU handles.

Change: a round of late requests ends after two tries that fail or ask another VM (late-tries.ts).

--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -12,6 +12,7 @@
 import {
 	type LeavingTarget, type ObservedLoad, type PlacementEffect, type PlacementMessage,
 } from './messages.js';
+import {createLateTries} from './late-tries.js';
 import {KnownTargets} from './known-targets.js';
 import {type PlacedTarget} from './placed-target.js';
 import {createPromptRecord, type PromptRecord, type SentPrompt} from './prompt-record.js';
@@ -416,12 +417,21 @@
 
 		const effects: PlacementEffect[] = [];
 		const ctx = this.#context(nowMs);
+		const lateTries = createLateTries(ctx.isReserved);
 		this.#queue.dispatch({
 			useCeiling: this.#useCeiling(nowMs),
 			isPaused: ask => this.#reservations.isPaused(ask, nowMs),
 			tryStart: (ask, tier) => {
+				if (tier === 'late' && !lateTries.mayTry()) {
+					return false;
+				}
+
 				const started = this.#tryStart(ask, this.#givesWay(ask, tier, nowMs), ctx);
 				effects.push(...started ?? []);
+				if (tier === 'late') {
+					lateTries.note(started !== undefined);
+				}
+
 				return started !== undefined;
 			},
 		}, nowMs);
--- a/test/placement/queue-order.test.ts
+++ b/test/placement/queue-order.test.ts
@@ -112,6 +112,39 @@
 	t.like(placement.handle({kind: 'tick'}, 5005), [{kind: 'reject', reason: 'too-late'}]);
 });
 
+test('many late requests of a small VM ask other VMs for room at a bounded rate', t => {
+	const placement = createPlacement({vms, service: {...modelService, coldPerS: 0}});
+	placement.handle({kind: 'target', target: target('t1')}, 0);
+	let calls = 0;
+	/** Every wish is declined. */
+	const decline = (effects: readonly PlacementEffect[], nowMs: number): void => {
+		for (const effect of effects) {
+			if (effect.kind === 'tell-peer' && effect.message.kind === 'request') {
+				calls++;
+				decline(placement.handle({
+					kind: 'peer', from: effect.vm, message: {
+						kind: 'answer', id: effect.message.wish.id, answer: {
+							target: 't1', isGranted: false, keptTokens: 0, retryAfterMs: 15, running: 20, readingTokens: 50_000, predictedMs: 900,
+						},
+					},
+				}, nowMs), nowMs);
+			}
+		}
+	};
+
+	for (let index = 0; index < 60; index++) {
+		decline(placement.handle({kind: 'ask', ask: {...ask(`team-${index}`, 0, {prompt: prompt(`s${index}`, 5000)}), deadlineMs: 60_000}}, 900), 900);
+	}
+
+	t.true(placement.waitingByTier.late >= 30, `${placement.waitingByTier.late} wait`);
+	calls = 0;
+	for (let nowMs = 905; nowMs < 1405; nowMs += 5) {
+		decline(placement.handle({kind: 'tick'}, nowMs), nowMs);
+	}
+
+	t.true(calls > 0 && calls <= 40, `${calls} calls in half a second`);
+});
+
 type Step = {readonly kind: 'ask' | 'round' | 'wait' | 'withdraw'; readonly value: number};
 
 const step: fc.Arbitrary<Step> = fc.record({kind: fc.constantFrom('ask', 'ask', 'round', 'wait', 'withdraw'), value: fc.nat({max: 999})});
