--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -475,7 +475,8 @@
 
 		const ids = this.#known.usable().map(({record}) => record.id);
 		return this.#queue.removeAll(({tried}) => ids.every(id => tried.includes(id))).map(({ask, queue}) => ({
-			kind: 'reject', ask, reason: 'no-target', retryAfterMs: NO_TARGET_RETRY_AFTER_MS, givesWay: false, ...(queue && {queue}),
+			kind: 'reject', ask, reason: 'no-target', retryAfterMs: NO_TARGET_RETRY_AFTER_MS, givesWay: false,
+			lastDecline: this.#reservations.takeLastDecline(ask.requestId), ...(queue && {queue}),
 		}));
 	}
 
