--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -12,6 +12,7 @@
 import {
 	type LeavingTarget, type ObservedLoad, type PlacementEffect, type PlacementMessage,
 } from './messages.js';
+import {createLateTries} from './late-tries.js';
 import {KnownTargets} from './known-targets.js';
 import {type PlacedTarget} from './placed-target.js';
 import {createPromptRecord, type PromptRecord, type SentPrompt} from './prompt-record.js';
@@ -429,12 +430,21 @@
 
 		const effects: PlacementEffect[] = [];
 		const ctx = this.#context(nowMs);
+		const lateTries = createLateTries(ctx.isReserved);
 		this.#queue.dispatch({
 			useCeiling: this.#useCeiling(nowMs),
 			isPaused: ask => this.#reservations.isPaused(ask, nowMs),
 			tryStart: (ask, tier) => {
+				if (tier === 'late' && !lateTries.mayTry()) {
+					return false;
+				}
+
 				const started = this.#tryStart(ask, this.#givesWay(ask, tier, nowMs), ctx);
 				effects.push(...started ?? []);
+				if (tier === 'late') {
+					lateTries.note(started !== undefined);
+				}
+
 				return started !== undefined;
 			},
 		}, nowMs);
@@ -478,7 +488,8 @@
 
 		const ids = this.#known.usable().map(({record}) => record.id);
 		return this.#queue.removeAll(({tried}) => ids.every(id => tried.includes(id))).map(({ask, queue}) => ({
-			kind: 'reject', ask, reason: 'no-target', retryAfterMs: NO_TARGET_RETRY_AFTER_MS, givesWay: false, ...(queue && {queue}),
+			kind: 'reject', ask, reason: 'no-target', retryAfterMs: NO_TARGET_RETRY_AFTER_MS, givesWay: false,
+			lastDecline: this.#reservations.takeLastDecline(ask.requestId), ...(queue && {queue}),
 		}));
 	}
 
