Take in how fast a target works at the moment

Cause: machines are up to 2.5 times slower for fractions of a second. Placement and ledgers knew the long-term rate alone.

Without the figure nothing changes.

The replay test fails without the figure.

Not measured: plain targets, beyond the test of one choice.

--- a/src/core/dispatch/types.ts
+++ b/src/core/dispatch/types.ts
@@ -51,6 +51,8 @@
 	readonly running: number;
 	readonly waiting: number;
 	readonly slots: number;
+	/** Time that work takes on its machine now, in percent of the usual; absent if it does not say. */
+	readonly workPercent?: number;
 };
 
 /** What a call notices on its way. */
--- a/src/core/placement/known-targets.ts
+++ b/src/core/placement/known-targets.ts
@@ -57,6 +57,7 @@
 			return load
 				? {
 					target: target.record.id, running: load.running, waiting: load.waiting, ageMs: nowMs - load.atMs,
+					...(load.workPercent !== undefined && {workPercent: load.workPercent}),
 				}
 				: [];
 		});
--- a/src/core/placement/placed-target.ts
+++ b/src/core/placement/placed-target.ts
@@ -6,6 +6,7 @@
 import {type TargetRecord} from '../routing/types.js';
 import {AwaitedStarts} from './awaited-starts.js';
 import {createSlidingCount, type SlidingCount} from './sliding-count.js';
+import {TargetSpeed} from './target-speed.js';
 
 /** Milliseconds for which a load report is taken into account. */
 const LOAD_VALID_MS = 2000;
@@ -29,7 +30,7 @@
 };
 
 /** What a target says of all its requests. */
-export type LoadWord = Pick<ReportedLoad, 'running' | 'waiting'>;
+export type LoadWord = Pick<ReportedLoad, 'running' | 'waiting' | 'workPercent'>;
 
 /** A request that was sent and has not ended. */
 export type Placed = {
@@ -52,6 +53,7 @@
 	#leavingSinceMs: number | undefined;
 	/** Until then it wants nothing from this VM. */
 	#heldOffUntilMs = -Infinity;
+	readonly #speed = new TargetSpeed();
 	readonly #placed = new Map<string, Placed>();
 	readonly #started: SlidingCount = createSlidingCount(COLD_WINDOW_MS);
 	#coldUntilMs: number;
@@ -163,6 +165,16 @@
 		return nowMs < this.#passOverUntilMs;
 	}
 
+	/** Another VM says how long work takes there, in percent of the usual. */
+	noteWork(percent: number | undefined, atMs: number): void {
+		this.#speed.note(percent, atMs);
+	}
+
+	/** Time that work takes there now, as a multiple of the usual. */
+	slowdown(nowMs: number): number {
+		return this.#speed.slowdown(nowMs);
+	}
+
 	/** Requests of other VMs there, going by the last report. */
 	othersRunning(nowMs: number): number {
 		return this.#load && this.#load.atMs > nowMs - LOAD_VALID_MS
@@ -220,6 +232,7 @@
 	 */
 	noteLoad(load: LoadWord, atMs: number, toThisVm = true): void {
 		this.awaited.noteSign(atMs);
+		this.#speed.note(load.workPercent, atMs);
 		if (!this.#load || atMs >= this.#load.atMs) {
 			this.#load = {
 				...load, atMs, own: this.running, toThisVm,
--- a/src/core/placement/reservations.ts
+++ b/src/core/placement/reservations.ts
@@ -33,7 +33,7 @@
 export type PeerMessage =
 	| {readonly kind: 'request'; readonly wish: ReservationWish}
 	| {readonly kind: 'answer'; readonly id: string; readonly answer: ReservationAnswer}
-	| {readonly kind: 'progress'; readonly id: string; readonly target: string; readonly hasEnded: boolean};
+	| {readonly kind: 'progress'; readonly id: string; readonly target: string; readonly hasEnded: boolean; readonly workPercent?: number};
 
 export type Outgoing = {readonly vm: string; readonly message: PeerMessage};
 
@@ -188,8 +188,9 @@
 	}
 
 	/** Takes in what became of a grant; returns the answers to requests that waited for its prompt, which may be requests of this VM. */
-	onProgress({id, target, hasEnded}: Extract<PeerMessage, {kind: 'progress'}>, nowMs: number): readonly Outgoing[] {
+	onProgress({id, target, hasEnded, workPercent}: Extract<PeerMessage, {kind: 'progress'}>, nowMs: number): readonly Outgoing[] {
 		const ledger = this.#ledgers.get(target);
+		this.#options.targetOf(target)?.noteWork(workPercent, nowMs);
 		if (hasEnded) {
 			this.#askers.delete(id);
 			ledger?.noteEnded(id, nowMs);
@@ -248,6 +249,8 @@
 
 		const message = {
 			kind: 'progress', id: grantId, target: reserved.target, hasEnded,
+			// Word of a first token comes with the answer that told it.
+			...(!hasEnded && {workPercent: Math.round(100 * (this.#options.targetOf(reserved.target)?.slowdown(nowMs) ?? 1))}),
 		} as const;
 		if (reserved.owner !== this.#options.vm) {
 			return [{vm: reserved.owner, message}];
@@ -281,7 +284,7 @@
 			?? new TargetLedger(wish.target, {capacityTokens: () => service().engine?.kvCapacityTokens ?? 0, nowMs});
 		this.#ledgers.set(wish.target, ledger);
 		const answer = ledger.reserve(wish, {
-			service: service(), slots: target?.record.slots ?? 0, observedRunning: target ? target.running + target.othersRunning(nowMs) : 0, nowMs,
+			service: service(), slots: target?.record.slots ?? 0, observedRunning: target ? target.running + target.othersRunning(nowMs) : 0, slowdown: target?.slowdown(nowMs) ?? 1, nowMs,
 		});
 		if (answer.startAfterMs > 0) {
 			this.#askers.set(wish.id, {vm: from, target: wish.target});
--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -8,6 +8,7 @@
 } from './prompt-keeper.js';
 import {sharedKeys} from './prompt-record.js';
 import {hasRoom, startsInTime, type Occupied} from './start-limits.js';
+import {slowedMs} from './target-speed.js';
 import {type PlacedAsk} from './types.js';
 
 /** Milliseconds that each running request costs, as a price when targets are compared. */
@@ -24,6 +25,8 @@
 const MIN_COPY_TOKENS = 150;
 /** Milliseconds that a target costs, as a price, while it is not known to be alive. */
 const DOUBT_PRICE_MS = 300;
+/** Milliseconds that a request without a prompt takes at a target, as a price of one that is twice as slow as usual. */
+const WORK_PRICE_MS = 10;
 /** Largest part of the targets that is passed over after failures; more would crowd the rest. */
 const MAX_PASSED_OVER_SHARE = 0.34;
 
@@ -125,8 +128,9 @@
 	const lacking = sharedTokens - own;
 	const keptTokens = source && keeper ? keeper.copyableTokens : own;
 	const newTokens = prompt ? Math.max(0, prompt.tokens - keptTokens) : 0;
-	const predictedMs = (target.readingTokens + others.readingTokens + newTokens) / tokensPerMs;
-	const ownMs = newTokens / tokensPerMs;
+	const slowdown = target.slowdown(nowMs);
+	const predictedMs = slowedMs((target.readingTokens + others.readingTokens + newTokens) / tokensPerMs, slowdown);
+	const ownMs = slowedMs(newTokens / tokensPerMs, slowdown);
 	const terms = {givesWay, isExact: false};
 	const waitedMs = nowMs - ask.arrivedMs;
 	return {
@@ -137,7 +141,7 @@
 		copiedTokens: source && keeper ? keeper.copyableTokens : 0,
 		isHome: keeper?.target === target,
 		fits: hasRoom(ask, occupied(target, others), {service, ...terms}) && startsInTime(ask, {waitedMs, predictedMs, ownMs}, terms),
-		price: predictedMs + priceBeyondStart(target, consideration, {lacking, dataCentre}),
+		price: predictedMs + (priceBeyondStart(target, consideration, {lacking, dataCentre}) * slowdown) + ((slowdown - 1) * WORK_PRICE_MS),
 		reason: {
 			predictedMs,
 			keptTokens,
--- a/src/core/placement/target-ledger.ts
+++ b/src/core/placement/target-ledger.ts
@@ -16,6 +16,7 @@
 import {createPromptRecord, type PromptRecord} from './prompt-record.js';
 import {ALL_KNOWN, createReadRate, type ReadRate} from './read-rate.js';
 import {hasRoom, startsInTime, type StartPrediction} from './start-limits.js';
+import {slowedMs} from './target-speed.js';
 
 /** Milliseconds after its latency target and the longest stream for which a request without word of its end counts. */
 const FORGET_AFTER_MS = 20_000;
@@ -93,6 +94,8 @@
 	readonly slots: number;
 	/** Requests that the target's own answers tell of. */
 	readonly observedRunning: number;
+	/** Time that work takes at the target now, as a multiple of the usual. */
+	readonly slowdown: number;
 	readonly nowMs: number;
 };
 
@@ -130,7 +133,7 @@
 		// What waits for a part has not been sent, and is prefilled after what is sent now.
 		const aheadTokens = this.#readingTokens - (prefix ? 0 : this.#awaitingTokens());
 		const prediction: StartPrediction = {
-			waitedMs: wish.waitedMs, predictedMs: ((aheadTokens + newTokens) / tokensPerMs) + ALL_KNOWN.overheadMs, ownMs: newTokens / tokensPerMs,
+			waitedMs: wish.waitedMs, predictedMs: slowedMs((aheadTokens + newTokens) / tokensPerMs, ctx.slowdown) + ALL_KNOWN.overheadMs, ownMs: slowedMs(newTokens / tokensPerMs, ctx.slowdown),
 		};
 		const load = {running: this.#runningWith(ctx), readingTokens: this.#readingTokens, heldTokens: this.#heldTokens};
 		const terms = {givesWay: wish.givesWay, isExact: true};
--- a/src/runtime/routing/load-exchange.ts
+++ b/src/runtime/routing/load-exchange.ts
@@ -106,7 +106,7 @@
 				targets: targets().map(load => ({...load, readingTokens: Math.round(load.readingTokens), heldTokens: Math.round(load.heldTokens)})),
 				prompts: prompts.map(({target, keys, newTokens}) => ({target, keys: [...keys], newTokens: Math.round(newTokens)})),
 			}
-			: {observed: takeObserved().map(load => ({...load, ageMs: Math.round(load.ageMs)}))};
+			: {observed: takeObserved().map(load => ({...load, ageMs: Math.round(load.ageMs), workPercent: Math.max(0, Math.round(load.workPercent ?? 0))}))};
 	};
 
 	const send = (): void => {
--- a/src/runtime/routing/reservation-messages.ts
+++ b/src/runtime/routing/reservation-messages.ts
@@ -44,9 +44,9 @@
 });
 
 export const decodeReservations = ({requests, answers, progress}: PeerDatagram): readonly ServiceMessage[] => [
-	...progress.map(({id, service, target, hasEnded}): ServiceMessage => ({
+	...progress.map(({id, service, target, hasEnded, workPercent}): ServiceMessage => ({
 		service, message: {
-			kind: 'progress', id, target, hasEnded,
+			kind: 'progress', id, target, hasEnded, ...(workPercent > 0 && {workPercent}),
 		},
 	})),
 	...requests.map((request): ServiceMessage => ({service: request.service, message: {kind: 'request', wish: decodeWish(request)}})),
--- a/test/placement/_fleet-model.ts
+++ b/test/placement/_fleet-model.ts
@@ -30,6 +30,8 @@
 	readonly latencyTargetMs: number;
 	/** Milliseconds that a message waits at the VM that receives it, by a draw in [0, 1); none if absent. */
 	readonly lagMs?: (vm: number, draw: number) => number;
+	/** How many times slower than usual an engine is at a moment; answers tell. Usual if absent. */
+	readonly slowdownOf?: (engine: number, nowMs: number) => number;
 	/** When a VM dies, if it does: from then on nothing is asked of it, and it answers nobody. */
 	readonly diesMs?: (vm: number) => number;
 	/** The prompt of a request, by a draw in [0, 1). */
@@ -61,7 +63,7 @@
 	waiting: number;
 };
 
-export const runFleet = ({seed, vms: size, engines: count, requestsPerS, forMs, latencyTargetMs, promptOf, lagMs = () => 0, diesMs = () => Infinity}: FleetLoad): FleetFigures => {
+export const runFleet = ({seed, vms: size, engines: count, requestsPerS, forMs, latencyTargetMs, promptOf, lagMs = () => 0, diesMs = () => Infinity, slowdownOf}: FleetLoad): FleetFigures => {
 	const random = createRandom(seed);
 	const lags = createRandom(seed + 1000);
 	const names = Array.from({length: size}, (_, index) => `vm-${index}`);
@@ -114,7 +116,7 @@
 			reading.set(key, (reading.get(key) ?? 0) + 1);
 		}
 
-		const readMs = Math.max(nowMs, engine.freeMs) + (tokens / READ_TOKENS_PER_MS);
+		const readMs = Math.max(nowMs, engine.freeMs) + (tokens / READ_TOKENS_PER_MS * (slowdownOf?.(Number(effect.target.id.slice(1)), nowMs) ?? 1));
 		engine.freeMs = readMs;
 		engine.waiting++;
 		const {grantId, target: {id}} = effect;
@@ -129,7 +131,11 @@
 
 			figures[firstMs - effect.ask.arrivedMs <= latencyTargetMs ? 'inTime' : 'late']++;
 			tell(vm, {
-				kind: 'observe', grantId, target: id, observation: {kind: 'load', load: {running: engine.running, waiting: engine.waiting, slots: 64}},
+				kind: 'observe', grantId, target: id, observation: {
+					kind: 'load', load: {
+						running: engine.running, waiting: engine.waiting, slots: 64, ...(slowdownOf && {workPercent: 100 * slowdownOf(Number(id.slice(1)), firstMs)}),
+					},
+				},
 			}, firstMs);
 			tell(vm, {
 				kind: 'observe', grantId, target: id, observation: {kind: 'first-token'},
--- a/test/placement/reservations.test.ts
+++ b/test/placement/reservations.test.ts
@@ -23,7 +23,7 @@
 };
 
 const ctx = (nowMs: number, changes: Partial<LedgerContext> = {}): LedgerContext => ({
-	service: modelService, slots: 64, observedRunning: 0, nowMs, ...changes,
+	service: modelService, slots: 64, observedRunning: 0, slowdown: 1, nowMs, ...changes,
 });
 
 test('a ledger lets in what the engine can read in time, and says when the next one may fit', t => {
@@ -332,6 +332,24 @@
 	}
 });
 
+test('engines that are 2.5 times slower for some hundred milliseconds get what they can start in time', t => {
+	const runs = [1, 2, 3].map(seed => runFleet({
+		...overload,
+		seed,
+		requestsPerS: 170,
+		slowdownOf: (engine, nowMs) => ((Math.floor(nowMs / 300) * 7) + (engine * 5)) % 3 === 0 ? 2.5 : 1,
+		promptOf: (draw, index) => ({
+			model: 'm',
+			parts: [{id: 'front', tokens: 8000}, {id: `subject-${Math.floor(draw * draw * 50)}`, tokens: 2000}, {id: `own-${index}`, tokens: 3700}],
+			tokens: 13_700,
+			outputTokens: 100,
+		}),
+	}));
+	const [inTime, late] = [runs.reduce((sum, run) => sum + run.inTime, 0), runs.reduce((sum, run) => sum + run.late, 0)];
+	t.true(inTime >= 1110, `${inTime} of 1,530 in time`);
+	t.true(late <= 35, `${late} of 1,530 late`);
+});
+
 test('reservations that are answered at the same moment keep to what a cold target bears', t => {
 	let sent = 0;
 	let asked = 0;
