--- a/test/placement/reservations.test.ts
+++ b/test/placement/reservations.test.ts
@@ -274,6 +274,23 @@
 	t.like(grant, {kind: 'grant', grantId: id, ask: {requestId: wanted.requestId}});
 });
 
+test('an owner that came back empty answers, and what it hears of grants before changes nothing', t => {
+	const {placement, effect} = askingVm();
+	const id = effect.message.kind === 'request' ? effect.message.wish.id : '';
+	const owner = withTargets(effect.vm);
+	for (const hasEnded of [false, true]) {
+		t.deepEqual(owner.handle({
+			kind: 'peer', from: 'vm-x', message: {
+				kind: 'progress', id, target: targetOf(effect), hasEnded,
+			},
+		}, 1), []);
+	}
+
+	const message = answerOf(owner, effect, 'vm-x');
+	t.like(message, {kind: 'answer', answer: {isGranted: true, startAfterMs: 0, running: 0}});
+	t.is(placement.handle({kind: 'peer', from: effect.vm, message}, 4)[0]?.kind, 'grant');
+});
+
 test('a caller that leaves while its request waits for a part gives the room back', t => {
 	const {placement, effect, wanted} = askingVm();
 	const id = effect.message.kind === 'request' ? effect.message.wish.id : '';
