--- a/test/placement/queue-order.test.ts
+++ b/test/placement/queue-order.test.ts
@@ -124,7 +124,7 @@
 				decline(placement.handle({
 					kind: 'peer', from: effect.vm, message: {
 						kind: 'answer', id: effect.message.wish.id, answer: {
-							target: 't1', isGranted: false, keptTokens: 0, retryAfterMs: 15, running: 20, readingTokens: 50_000, predictedMs: 900,
+							target: 't1', isGranted: false, keptTokens: 0, retryAfterMs: 15, running: 20, readingTokens: 50_000, predictedMs: 900, startAfterMs: 0,
 						},
 					},
 				}, nowMs), nowMs);
--- a/test/placement/reservations.test.ts
+++ b/test/placement/reservations.test.ts
@@ -23,7 +23,7 @@
 };
 
 const ctx = (nowMs: number, changes: Partial<LedgerContext> = {}): LedgerContext => ({
-	service: modelService, slots: 64, observedRunning: 0, nowMs, ...changes,
+	service: modelService, slots: 64, observedRunning: 0, slowdown: 1, nowMs, ...changes,
 });
 
 test('a ledger lets in what the engine can read in time, and says when the next one may fit', t => {
@@ -274,6 +274,23 @@
 	t.like(grant, {kind: 'grant', grantId: id, ask: {requestId: wanted.requestId}});
 });
 
+test('an owner that came back empty answers, and what it hears of grants before changes nothing', t => {
+	const {placement, effect} = askingVm();
+	const id = effect.message.kind === 'request' ? effect.message.wish.id : '';
+	const owner = withTargets(effect.vm);
+	for (const hasEnded of [false, true]) {
+		t.deepEqual(owner.handle({
+			kind: 'peer', from: 'vm-x', message: {
+				kind: 'progress', id, target: targetOf(effect), hasEnded,
+			},
+		}, 1), []);
+	}
+
+	const message = answerOf(owner, effect, 'vm-x');
+	t.like(message, {kind: 'answer', answer: {isGranted: true, startAfterMs: 0, running: 0}});
+	t.is(placement.handle({kind: 'peer', from: effect.vm, message}, 4)[0]?.kind, 'grant');
+});
+
 test('a caller that leaves while its request waits for a part gives the room back', t => {
 	const {placement, effect, wanted} = askingVm();
 	const id = effect.message.kind === 'request' ? effect.message.wish.id : '';
@@ -332,6 +349,24 @@
 	}
 });
 
+test('engines that are 2.5 times slower for some hundred milliseconds get what they can start in time', t => {
+	const runs = [1, 2, 3].map(seed => runFleet({
+		...overload,
+		seed,
+		requestsPerS: 170,
+		slowdownOf: (engine, nowMs) => ((Math.floor(nowMs / 300) * 7) + (engine * 5)) % 3 === 0 ? 2.5 : 1,
+		promptOf: (draw, index) => ({
+			model: 'm',
+			parts: [{id: 'front', tokens: 8000}, {id: `subject-${Math.floor(draw * draw * 50)}`, tokens: 2000}, {id: `own-${index}`, tokens: 3700}],
+			tokens: 13_700,
+			outputTokens: 100,
+		}),
+	}));
+	const [inTime, late] = [runs.reduce((sum, run) => sum + run.inTime, 0), runs.reduce((sum, run) => sum + run.late, 0)];
+	t.true(inTime >= 1110, `${inTime} of 1,530 in time`);
+	t.true(late <= 35, `${late} of 1,530 late`);
+});
+
 test('reservations that are answered at the same moment keep to what a cold target bears', t => {
 	let sent = 0;
 	let asked = 0;
