Let no duplicate response of a target reach another caller

Change: bodies that are not chunked are searched for the head of another response: a status line with header lines that name an id, or the beginning of a head at the end of the body. The call fails, its connection is closed.

Not covered: of a body that is passed on while it arrives, bytes of a foreign head up to its id line may have gone out before the answer is cut off.

--- a/src/runtime/entry/attempt-task.ts
+++ b/src/runtime/entry/attempt-task.ts
@@ -24,9 +24,18 @@
 const isWaiting = ({kind}: AttemptState): boolean => kind === 'claiming' || kind === 'queued';
 
 /** Calls in the product's own protocol. */
-const ownCalls = ({pools, metrics, stallMs}: AttemptContext): CreateCalls => (job, answer) => options => new TargetCall({
-	...options, job, answer, metrics, pool: () => pools.get(options.grant.address), ...(stallMs !== undefined && {stallMs}),
-});
+const ownCalls = ({pools, metrics, stallMs}: AttemptContext): CreateCalls => (job, answer) => {
+	/** A late duplicate of an earlier response of this request would carry its id. */
+	const calledBefore = new Set<string>();
+	return options => {
+		const {address} = options.grant;
+		const isRepeat = calledBefore.has(address);
+		calledBefore.add(address);
+		return new TargetCall({
+			...options, job, answer, metrics, pool: () => isRepeat ? pools.fresh(address) : pools.get(address), ...(stallMs !== undefined && {stallMs}),
+		});
+	};
+};
 
 class AttemptTask {
 	#state: AttemptState = initialAttempt;
--- a/src/runtime/entry/call-target.ts
+++ b/src/runtime/entry/call-target.ts
@@ -1,8 +1,9 @@
 /** One HTTP call to a target, with a hook right before its first byte. */
 import {type IncomingHttpHeaders} from 'node:http';
 import {type Dispatcher} from 'undici';
+import {createForeignHeadScan, type ForeignHeadScan} from '../../core/attempt/foreign-head.js';
 import {JackdawwoodError} from '../../core/errors/jackdawwood-error.js';
-import {CallDropped} from './entry-errors-data.js';
+import {CallDropped, ForeignResponse} from './entry-errors-data.js';
 import {type TargetRequest} from './job.js';
 
 /** What happens to a call, in order. Exactly one of `onEnd` and `onError` comes last. */
@@ -25,13 +26,20 @@
 	readonly resume: () => void;
 };
 
+export type CallTargetOptions = {
+	/** Lower-case name of the header that tells whose a response is; without it bodies are not looked into. */
+	readonly idHeader?: string;
+};
+
 const dropped = () => new JackdawwoodError(CallDropped);
 
 /** Starts a call. Redirects and retries by the HTTP client are off. */
-export const callTarget = (pool: Dispatcher, request: TargetRequest, listener: CallListener): Call => {
+export const callTarget = (pool: Dispatcher, request: TargetRequest, listener: CallListener, {idHeader}: CallTargetOptions = {}): Call => {
 	let controller: Dispatcher.DispatchController | undefined;
 	let closed = false;
 	let starting = false;
+	/** Present where the framing does not tell another response from this one's body. */
+	let scan: ForeignHeadScan | undefined;
 	const close = () => {
 		closed = true;
 		// While starting, the throw below is enough and keeps the connection.
@@ -40,6 +48,13 @@
 		}
 	};
 
+	const failForeign = (): void => {
+		closed = true;
+		const err = new JackdawwoodError(ForeignResponse);
+		controller?.abort(err);
+		listener.onError(err);
+	};
+
 	const handler: Dispatcher.DispatchHandler = {
 		onRequestStart(started) {
 			// The HTTP client may offer a request to a second connection; the listener decides each time.
@@ -53,16 +68,25 @@
 		},
 		onResponseStart(_, status, headers) {
 			if (!closed && status >= 200) {
+				scan = idHeader !== undefined && headers['transfer-encoding'] === undefined ? createForeignHeadScan(idHeader) : undefined;
 				listener.onHeaders(status, headers);
 			}
 		},
 		onResponseData(_, chunk) {
-			if (!closed) {
+			if (closed) {
+				return;
+			}
+
+			if (scan?.onPart(chunk)) {
+				failForeign();
+			} else {
 				listener.onData(chunk);
 			}
 		},
 		onResponseEnd() {
-			if (!closed) {
+			if (!closed && scan?.isCutOff()) {
+				failForeign();
+			} else if (!closed) {
 				closed = true;
 				listener.onEnd();
 			}
--- a/src/runtime/entry/entry-errors-data.ts
+++ b/src/runtime/entry/entry-errors-data.ts
@@ -8,6 +8,13 @@
 	hint: 'Nothing is to be done: the request was withdrawn, cancelled or asked for again.',
 } as const satisfies ErrorData;
 
+export const ForeignResponse = {
+	name: 'ForeignResponse',
+	title: 'A target wrote another response inside of a response.',
+	message: () => 'The body holds the head of another response; none of it is used.',
+	hint: 'See whether the target sends responses twice; the request is repeated where that is allowed.',
+} as const satisfies ErrorData;
+
 export const ConnectionReset = {
 	name: 'ConnectionReset',
 	title: 'A connection to a target was reset.',
--- a/src/runtime/entry/target-call.ts
+++ b/src/runtime/entry/target-call.ts
@@ -159,7 +159,7 @@
 
 	#connect(request: TargetRequest, listener: CallListener): void {
 		this.#touchStall();
-		this.#call = callTarget(this.#options.pool(), request, listener);
+		this.#call = callTarget(this.#options.pool(), request, listener, {idHeader: 'x-request-id'});
 	}
 
 	#listener(onHeaders: CallListener['onHeaders']): CallListener {
--- a/src/runtime/entry/target-pools.ts
+++ b/src/runtime/entry/target-pools.ts
@@ -1,6 +1,6 @@
 /** Connections to targets, one bounded pool for each address. */
 import {type Socket} from 'node:net';
-import {buildConnector, Pool} from 'undici';
+import {buildConnector, Pool, type Dispatcher} from 'undici';
 import {JackdawwoodError} from '../../core/errors/jackdawwood-error.js';
 import {ConnectionReset} from './entry-errors-data.js';
 
@@ -17,6 +17,8 @@
 export type TargetPools = {
 	/** Returns the pool of an address as it is now; it is not to be kept. */
 	readonly get: (address: string) => Pool;
+	/** One call on a connection of its own, on which no late response to an earlier one can come. */
+	readonly fresh: (address: string) => Dispatcher;
 	/** Ends all connections; whatever still runs on them is given up. */
 	readonly close: () => Promise<void>;
 };
@@ -111,6 +113,17 @@
 	};
 
 	return {
+		fresh(address) {
+			const pool = createPool(address, {...options, connections: () => 1});
+			const dispatch: Dispatcher['dispatch'] = (request, handler) => {
+				const isReady = pool.dispatch(request, handler);
+				// Closes once the call has ended.
+				void pool.close();
+				return isReady;
+			};
+
+			return Object.create(pool, {dispatch: {value: dispatch}}) as Dispatcher; // eslint-disable-line @typescript-eslint/no-unsafe-type-assertion -- a pool but for one method
+		},
 		get(address) {
 			const known = pools.get(address);
 			if (known) {
--- a/src/runtime/routing/relay-call.ts
+++ b/src/runtime/routing/relay-call.ts
@@ -7,6 +7,7 @@
 import {type IncomingHttpHeaders} from 'node:http';
 import {type Dispatcher} from 'undici';
 import {type Clock} from '../../core/clock.js';
+import {type RecentSends} from '../../core/attempt/recent-sends.js';
 import {type FaultReason} from '../../core/attempt/types.js';
 import {type Observation} from '../../core/dispatch/types.js';
 import {callTarget, type Call} from '../entry/call-target.js';
@@ -39,6 +40,10 @@
 export type RelayOptions = {
 	readonly wire: TargetWire;
 	readonly pool: (address: string) => Dispatcher;
+	/** A connection of its own for one call. */
+	readonly freshPool: (address: string) => Dispatcher;
+	/** What was sent where lately, over all requests. */
+	readonly recentSends: RecentSends;
 	readonly clock: Clock;
 	readonly log: Log;
 	readonly observe: (grant: CallOptions['grant'], observation: Observation) => void;
@@ -99,7 +104,7 @@
 	}
 
 	start(): void {
-		const {wire, pool, grant, clock, mayWrite} = this.#options;
+		const {wire, pool, freshPool, recentSends, grant, clock, mayWrite} = this.#options;
 		const {job, events, hasBegun} = this.#progress;
 		events.restart();
 		const request = wire.request(job.request, {
@@ -108,7 +113,8 @@
 			afterEvent: hasBegun ? events.lastId() : undefined,
 			copyPromptFrom: grant.copyPromptFrom,
 		});
-		this.#call = callTarget(pool(grant.address), request, {
+		const isRepeat = recentSends.note(job.requestId, grant.address);
+		this.#call = callTarget(isRepeat ? freshPool(grant.address) : pool(grant.address), request, {
 			onWriting: () => {
 				const mayStart = this.#open && mayWrite();
 				if (mayStart) {
@@ -129,7 +135,7 @@
 			onError: err => {
 				this.#onError(err);
 			},
-		});
+		}, {idHeader: wire.idHeader});
 	}
 
 	drop(): void {
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -3,6 +3,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import polka from 'polka';
 import {createCostEstimator} from '../../core/admission/cost-estimator.js';
+import {createRecentSends} from '../../core/attempt/recent-sends.js';
 import {createLoadShed} from '../../core/admission/load-shed.js';
 import {createPauseWatch} from '../../core/pause-watch.js';
 import {memoryBounds} from '../../core/memory/held-memory.js';
@@ -202,7 +203,7 @@
 		retryBudget: createRetryShare(bounds, () => vms().length),
 		estimator: createCostEstimator(),
 		createCalls: createRelayCalls({
-			wire: targetWire, pool: address => pools.get(address), clock, log, observe: scheduler.observe, onRead,
+			wire: targetWire, pool: address => pools.get(address), freshPool: pools.fresh, recentSends: createRecentSends(), clock, log, observe: scheduler.observe, onRead,
 		}),
 	};
 	const ctx: ServeContext = {
--- a/src/runtime/routing/types.ts
+++ b/src/runtime/routing/types.ts
@@ -39,6 +39,8 @@
 
 /** Translates between the product and targets. */
 export type TargetWire = {
+	/** Lower-case name of the header that tells whose a response is. */
+	readonly idHeader: string;
 	/** The request as it is sent to one process of a target. */
 	readonly request: (request: TargetRequest, to: {
 		readonly instance: string;
--- /dev/null
+++ b/test/entry/duplicate-responses.test.ts
@@ -0,0 +1,235 @@
+/**
+ * Guards against a response that a target sends twice reaching another caller: late, on a
+ * connection that is in use again, in both protocols of targets.
+ */
+import net, {type Socket} from 'node:net';
+import {once} from 'node:events';
+import {setTimeout as delay} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {Agent, request} from 'undici';
+import {createForeignHeadScan} from '../../src/core/attempt/foreign-head.js';
+import {startRouterProcess} from '../memory/_router-process.js';
+import {HOST} from '../platform/_platform.js';
+import {grantingScheduler, startTestEntry} from './_entry.js';
+
+/** When the last response of a connection is sent once more. */
+type Moment = 'while-idle' | 'before-next' | 'in-body' | 'in-short-body' | 'in-body-without-length' | 'in-chunked-body';
+
+const moments: readonly Moment[] = ['while-idle', 'before-next', 'in-body', 'in-short-body', 'in-body-without-length', 'in-chunked-body'];
+
+type Seen = {readonly id: string; readonly run: number};
+
+type Script = (socket: Socket, seen: Seen, last: string | undefined) => Promise<string>;
+
+/** A target that reads one request at a time; the script writes its response and returns what it may send again. */
+const startRawTarget = async (t: ExecutionContext, idHeader: string, script: Script) => {
+	let runs = 0;
+	const server = net.createServer(socket => {
+		let text = '';
+		let last: string | undefined;
+		let busy = Promise.resolve();
+		socket.on('error', () => undefined);
+		socket.on('data', chunk => {
+			text += chunk.toString('latin1');
+			const id = new RegExp(String.raw`^${idHeader}: ?(.+?)\r?$`, 'imv').exec(text)?.[1] ?? '';
+			if (text.includes('\r\n\r\n')) {
+				text = '';
+				runs++;
+				const seen = {id, run: runs};
+				busy = busy.then(async () => {
+					last = await script(socket, seen, last);
+				});
+			}
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.teardown(() => {
+		server.close();
+	});
+	const address = server.address();
+	return {address: `127.0.0.1:${typeof address === 'object' && address ? address.port : 0}`, runs: () => runs};
+};
+
+const headOf = (idHeader: string, id: string, framing: string, status = '200 OK') =>
+	`HTTP/1.1 ${status}\r\n${idHeader}: ${id}\r\nx-server-stamp: l1.1\r\n${framing}\r\n\r\n`;
+
+const whole = (idHeader: string, {id, run}: Seen): string => {
+	const body = `for ${id} run ${run}`;
+	return headOf(idHeader, id, `content-length: ${body.length}`) + body;
+};
+
+const PAUSE_MS = 30;
+
+/** Answers each request, and repeats the connection's last response at a moment of the next one. */
+const repeatAt = (idHeader: string, moment: Moment): Script => async (socket, seen, last) => {
+	const text = whole(idHeader, seen);
+	if (last === undefined) {
+		socket.write(text);
+		if (moment === 'while-idle') {
+			await delay(PAUSE_MS);
+			socket.write(text);
+		}
+
+		return text;
+	}
+
+	const own = `for ${seen.id} run ${seen.run} `.padEnd(moment === 'in-short-body' ? 0 : 2000, '.');
+	switch (moment) {
+		case 'while-idle': {
+			socket.write(text);
+			break;
+		}
+
+		case 'before-next': {
+			socket.write(last);
+			await delay(PAUSE_MS);
+			socket.write(text);
+			break;
+		}
+
+		case 'in-body':
+		case 'in-short-body': {
+			socket.write(headOf(idHeader, seen.id, `content-length: ${own.length}`) + own.slice(0, 4));
+			await delay(PAUSE_MS);
+			socket.write(last);
+			await delay(PAUSE_MS);
+			socket.write(own.slice(4));
+			break;
+		}
+
+		case 'in-body-without-length': {
+			socket.write(headOf(idHeader, seen.id, 'connection: close') + own.slice(0, 4));
+			await delay(PAUSE_MS);
+			socket.write(last);
+			await delay(PAUSE_MS);
+			socket.end(own.slice(4));
+			break;
+		}
+
+		case 'in-chunked-body': {
+			socket.write(`${headOf(idHeader, seen.id, 'transfer-encoding: chunked')}4\r\n${own.slice(0, 4)}\r\n`);
+			await delay(PAUSE_MS);
+			socket.write(last);
+			await delay(PAUSE_MS);
+			socket.write(`4\r\n${own.slice(4, 8)}\r\n0\r\n\r\n`);
+			break;
+		}
+	}
+
+	return text;
+};
+
+type Answer = {readonly status: number; readonly text: string};
+
+/** Asks one after the other; each answer must be its caller's own, or no success. */
+const checkOwn = async (t: ExecutionContext, call: (id: string) => Promise<Answer>) => {
+	const first = await call('first');
+	t.is(first.status, 200);
+	t.true(first.text.startsWith('for '));
+	await delay(3 * PAUSE_MS);
+	let before = first.text;
+	for (const id of ['second', 'third']) {
+		const {status, text} = await call(id); // eslint-disable-line no-await-in-loop
+		t.log(`${id}: ${status} ${text.slice(0, 60)}`);
+		t.false(text.includes(before) || text.includes('HTTP/1.1'), text);
+		t.true(status === 200 || status >= 500);
+		if (status === 200) {
+			before = text;
+		}
+	}
+};
+
+const textOf = async (body: AsyncIterable<Uint8Array>): Promise<string> => {
+	let text = '';
+	try {
+		for await (const chunk of body) {
+			text += new TextDecoder().decode(chunk);
+		}
+	} catch {
+		// Cut off, which its caller can tell.
+	}
+
+	return text;
+};
+
+const startRouted = async (t: ExecutionContext, address: string) => {
+	const router = await startRouterProcess(t, {targets: {l1: address}});
+	const agent = new Agent();
+	t.teardown(async () => agent.destroy());
+	return async (id: string): Promise<Answer> => {
+		const {statusCode, body} = await request(`http://${router.callers}/look/x`, {dispatcher: agent, headers: {host: HOST, 'x-attempt-id': id, 'x-deadline-ms': '2000'}});
+		return {status: statusCode, text: await textOf(body)};
+	};
+};
+
+for (const moment of moments) {
+	test.serial(`routed: a response that comes twice, ${moment}, reaches its own caller alone`, async t => {
+		const {address} = await startRawTarget(t, 'x-attempt-id', repeatAt('x-attempt-id', moment));
+		await checkOwn(t, await startRouted(t, address));
+	});
+
+	test.serial(`own protocol: a response that comes twice, ${moment}, reaches its own caller alone`, async t => {
+		const {address} = await startRawTarget(t, 'x-request-id', repeatAt('x-request-id', moment));
+		const {call} = await startTestEntry(t, {scheduler: grantingScheduler(() => address)});
+		await checkOwn(t, async () => {
+			const {statusCode, body} = await call('/services/ledger/x', {method: 'GET'});
+			return {status: statusCode, text: await textOf(body)};
+		});
+	});
+}
+
+test.serial('routed: a late response to an earlier request with the same id is not taken for that of the next', async t => {
+	const {address} = await startRawTarget(t, 'x-attempt-id', repeatAt('x-attempt-id', 'before-next'));
+	const call = await startRouted(t, address);
+	const first = await call('same');
+	const second = await call('same');
+	t.is(first.text, 'for same run 1');
+	t.is(second.text, 'for same run 2');
+});
+
+test.serial('own protocol: a refusal that comes twice is not taken for that of the next try, which runs', async t => {
+	const decline = (id: string) => headOf('x-request-id', id, 'x-overloaded: 1\r\ncontent-length: 0', '503 Service Unavailable');
+	const {address, runs} = await startRawTarget(t, 'x-request-id', async (socket, seen, last) => {
+		if (seen.run === 1) {
+			socket.write(decline(seen.id));
+			return decline(seen.id);
+		}
+
+		if (last !== undefined) {
+			socket.write(last);
+			await delay(PAUSE_MS);
+		}
+
+		const text = whole('x-request-id', seen);
+		socket.write(text);
+		return text;
+	});
+	const {call} = await startTestEntry(t, {scheduler: grantingScheduler(() => address)});
+	const {statusCode, body} = await call('/services/ledger/x', {method: 'GET'});
+	t.is(statusCode, 200);
+	t.regex(await textOf(body), /run 2$/v);
+	t.is(runs(), 2, 'a debit runs once');
+});
+
+test('a head in a body is found however it is cut up, and text that mentions HTTP is none', t => {
+	const found = (text: string, size: number): boolean => {
+		const scan = createForeignHeadScan('x-attempt-id');
+		const bytes = new TextEncoder().encode(text);
+		for (let at = 0; at < bytes.length; at += size) {
+			if (scan.onPart(bytes.subarray(at, at + size))) {
+				return true;
+			}
+		}
+
+		return scan.isCutOff();
+	};
+
+	const foreign = `{"a": 1, ${whole('x-attempt-id', {id: 'a', run: 1})}`;
+	for (const size of [1, 2, 3, 7, 8, 9, 50, 1000]) {
+		t.true(found(foreign, size), `${size}`);
+		t.true(found(`abcd${foreign.slice(9, 9 + 12)}`, size), `cut off, ${size}`);
+		t.false(found('GET / HTTP/1.1\r\nhost: a\r\n\r\n, then HTTP/1.1 200 OK is the answer.'.repeat(50), size), `${size}`);
+		t.false(found('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\nof another protocol', size), `${size}`);
+	}
+});
