Search bodies for foreign heads without copying them

Cause: the search joined each part of a body with the end of the one before, so every byte of a plain response was copied once and became garbage twice.

Change: parts are searched in place; only the border of two parts is joined while no mark is seen.

--- a/src/core/attempt/foreign-head.ts
+++ b/src/core/attempt/foreign-head.ts
@@ -32,7 +32,15 @@
 
 	return {
 		onPart(part) {
-			const bytes = rest.length === 0 ? Buffer.from(part.buffer, part.byteOffset, part.length) : Buffer.concat([rest, part]);
+			const view = Buffer.from(part.buffer, part.byteOffset, part.length);
+			// Long bodies are not copied as long as no mark is in sight.
+			const border = Buffer.concat([rest, view.subarray(0, MARK.length)]);
+			if (rest.length <= MARK.length && part.length >= MARK.length && !border.includes(MARK) && !view.includes(MARK)) {
+				rest = Buffer.from(view.subarray(-MARK.length));
+				return false;
+			}
+
+			const bytes = Buffer.concat([rest, view]);
 			let at = bytes.indexOf(MARK);
 			while (at !== -1) {
 				const head = bytes.toString('latin1', at, at + MAX_HEAD_BYTES);
