--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -4,6 +4,7 @@
 import polka from 'polka';
 import {createCostEstimator} from '../../core/admission/cost-estimator.js';
 import {createIngress} from '../../core/admission/ingress.js';
+import {createRecentSends} from '../../core/attempt/recent-sends.js';
 import {createLoadShed} from '../../core/admission/load-shed.js';
 import {createRefusalSummary} from '../../core/admission/refusal-summary.js';
 import {createRotation} from '../../core/admission/rotation.js';
@@ -243,7 +244,8 @@
 		retryBudget: createRetryShare(bounds, () => vms().length),
 		estimator: createCostEstimator(),
 		createCalls: createRelayCalls({
-			wire: targetWire, pool: address => pools.get(address), clock, log, observe: scheduler.observe, onRead, starts: scheduler.starts,
+			wire: targetWire, pool: address => pools.get(address), freshPool: pools.fresh, recentSends: createRecentSends(), clock, log, observe: scheduler.observe, onRead,
+			starts: scheduler.starts,
 		}),
 	};
 	const ctx: ServeContext = {
