Roll-outs: failures by a model of the fleet, hand-over of the coordinator

Cause: a coordinator that could not reach the store or most VMs kept its place, so a good version was rolled back (11.2 s) or a decision came after the time limit (12.8 to 14.4 s). Time lost to a take-over was not made up for. An announcement from before a hand-over, passed on by other VMs, brought the VM back that had handed over.

Change: a coordinator steps down after 0.5 s without the store, or while under half of the VMs report to it; others follow at once. Steps are shorter when time was lost; with failures the end may be written up to 0.8 s before the limit. What a VM cannot write it does not hold back.

--- a/src/core/rollout/coordinator-choice.ts
+++ b/src/core/rollout/coordinator-choice.ts
@@ -5,8 +5,8 @@
  */
 import {rankByRendezvous} from '../membership/rendezvous.js';
 
-/** Milliseconds without a fresh announcement after which the next VM takes over: gossip takes about a second, and a roll-out may have twelve in all. */
-const SILENT_AFTER_MS = 2000;
+/** Milliseconds without a fresh announcement after which the next VM takes over: gossip takes about a second, and a roll-out may have twelve in all. A take-over without need costs one read of the row. */
+const SILENT_AFTER_MS = 1500;
 /** Milliseconds for which a silent VM is passed over unless it is heard. */
 const SILENT_MS = 15_000;
 /** Milliseconds between looks above which this process stood still. */
@@ -15,7 +15,8 @@
 export class CoordinatorChoice {
 	readonly #key: string;
 	readonly #vms: () => readonly string[];
-	readonly #silentUntilMs = new Map<string, number>();
+	/** VMs that are passed over, since when. */
+	readonly #silentSinceMs = new Map<string, number>();
 	#names: readonly string[] | undefined;
 	#ranks: readonly string[] = [];
 	#chosen: string | undefined;
@@ -43,10 +44,10 @@
 		if (!isNeeded || hasGap) {
 			this.#aliveMs = nowMs;
 		} else if (this.#chosen !== undefined && nowMs - this.#aliveMs > SILENT_AFTER_MS) {
-			this.#silentUntilMs.set(this.#chosen, nowMs + SILENT_MS);
+			this.#silentSinceMs.set(this.#chosen, nowMs);
 		}
 
-		const next = this.#ranks.find(vm => (this.#silentUntilMs.get(vm) ?? -Infinity) <= nowMs) ?? this.#ranks[0];
+		const next = this.#ranks.find(vm => (this.#silentSinceMs.get(vm) ?? -Infinity) + SILENT_MS <= nowMs) ?? this.#ranks[0];
 		if (next !== this.#chosen) {
 			this.#chosen = next;
 			this.#aliveMs = nowMs;
@@ -55,10 +56,16 @@
 		return next;
 	}
 
+	/** A VM hands over. */
+	noteSteppedDown(vm: string, nowMs: number): void {
+		this.#silentSinceMs.set(vm, nowMs);
+	}
+
 	/** A VM has renewed an announcement at that moment. */
-	noteHeard(vm: string, renewedMs: number, nowMs: number): void {
-		if (nowMs - renewedMs <= SILENT_AFTER_MS) {
-			this.#silentUntilMs.delete(vm);
+	noteHeard(vm: string, renewedMs: number): void {
+		// What it announced before says nothing: other VMs pass that on for a while.
+		if (renewedMs > (this.#silentSinceMs.get(vm) ?? -Infinity)) {
+			this.#silentSinceMs.delete(vm);
 		}
 
 		if (vm === this.#chosen) {
--- a/src/core/rollout/coordinator.ts
+++ b/src/core/rollout/coordinator.ts
@@ -10,7 +10,7 @@
 import {responsesOf} from './counts.js';
 import {EvidenceSum} from './evidence-sum.js';
 import {
-	boostedShare, nextShare, scheduleOf, trialShareOf,
+	boostedShare, nextShare, scheduleOf, stepMsAt, trialShareOf,
 } from './schedule.js';
 import {
 	type EvidenceReport, type ExposureBounds, type OrderInForce, type Phase, type RolloutReason, type RolloutState, type RolloutWrite, type RolloutWritten, type StoredState,
@@ -25,8 +25,14 @@
 const MIN_STEP_RESPONSES = 6;
 /** Milliseconds between looks above which this process stood still. */
 const GAP_MS = 600;
-/** Milliseconds without an answer of the store after which announcements are not renewed, so that another VM takes over. */
-const STORE_LOST_MS = 1500;
+/** Milliseconds without an answer of the store after which another VM takes over and announcements are not renewed here: some tries more than a slow store needs. */
+const STORE_LOST_MS = 500;
+/** Milliseconds within which a VM in reach has sent evidence, with a report lost. */
+const HEARD_MS = 1500;
+/** Part of the VMs that have to be in reach. */
+const MIN_HEARD_SHARE = 0.5;
+/** Milliseconds from being chosen until VMs have begun to report here. */
+const GATHER_MS = 2000;
 /** Milliseconds between calls to the store after one that failed. */
 const RETRY_MS = 200;
 /** Part of the exposure bound above which a version in doubt is rolled back: what is under way and what other VMs send until they hear of it comes on top. */
@@ -67,6 +73,8 @@
 export type CoordinatorEffect =
 	| {readonly kind: 'read'}
 	| {readonly kind: 'write'; readonly write: RolloutWrite}
+	/** Another VM had better coordinate: the store or most VMs are out of reach here. */
+	| {readonly kind: 'step-down'}
 	/** Renews the announcement of a row that was written. */
 	| {readonly kind: 'announce'; readonly stored: StoredState; readonly isHeld: boolean}
 	| {readonly kind: 'log'; readonly write: RolloutWrite; readonly verdict: Verdict; readonly responses: number; readonly runningBefore: number};
@@ -89,6 +97,8 @@
 	/** When calls to the store began to fail. */
 	#failingSinceMs: number | undefined;
 	#wasChosen = false;
+	/** When it was chosen, or went on after a pause. */
+	#chosenMs = 0;
 	/** The call under way began before a pause: what it answers may be out of date. */
 	#isCallStale = false;
 	#stepMs = 0;
@@ -110,7 +120,7 @@
 			}
 
 			case 'evidence': {
-				this.#sum.take(message.vm, message.report, message.vms);
+				this.#sum.take(message.vm, message.report, {vms: message.vms, nowMs});
 				return [];
 			}
 
@@ -129,7 +139,8 @@
 				const write = this.#call;
 				this.#call = undefined;
 				this.#failingSinceMs = undefined;
-				if (!this.#takeStale() && write && write !== 'read') {
+				const isStale = this.#takeStale();
+				if (!isStale && write !== undefined && write !== 'read') {
 					this.#enter({state: write.state, revision: message.revision}, nowMs);
 				}
 
@@ -208,6 +219,7 @@
 
 		if (!this.#wasChosen || hasGap) {
 			this.#wasChosen = true;
+			this.#chosenMs = nowMs;
 			this.#row = undefined;
 			this.#isCallStale = this.#call !== undefined;
 		}
@@ -216,13 +228,14 @@
 			this.#hadTargetsMs = nowMs;
 		}
 
+		const handOver = this.#stepDown(facts, nowMs);
 		if (!this.#row) {
-			return this.#read(nowMs);
+			return [...handOver, ...this.#read(nowMs)];
 		}
 
 		this.#verdict = this.#alarm.judge(this.#sum.routes);
 		const write = this.#call === undefined && nowMs >= this.#notBeforeMs ? this.#nextWrite(this.#row, facts, nowMs) : undefined;
-		return [...this.#announce(nowMs), ...(write ? this.#write(write) : [])];
+		return [...handOver, ...this.#announce(nowMs), ...(write ? this.#write(write) : [])];
 	}
 
 	#read(nowMs: number): readonly CoordinatorEffect[] {
@@ -241,10 +254,19 @@
 		}];
 	}
 
+	#isStoreLost(nowMs: number): boolean {
+		return this.#failingSinceMs !== undefined && nowMs - this.#failingSinceMs > STORE_LOST_MS;
+	}
+
+	/** If no VM is better off this one goes on, since its rank brings it back. */
+	#stepDown({vms}: CoordinatorFacts, nowMs: number): readonly CoordinatorEffect[] {
+		const isAlone = nowMs - this.#chosenMs > GATHER_MS && this.#row !== undefined && this.#sum.heardSince(nowMs - HEARD_MS) < vms * MIN_HEARD_SHARE;
+		return isAlone || this.#isStoreLost(nowMs) ? [{kind: 'step-down'}] : [];
+	}
+
 	#announce(nowMs: number): readonly CoordinatorEffect[] {
 		const row = this.#row;
-		const isStoreLost = this.#failingSinceMs !== undefined && nowMs - this.#failingSinceMs > STORE_LOST_MS;
-		return row?.state && !isStoreLost
+		return row?.state && !this.#isStoreLost(nowMs)
 			? [{kind: 'announce', stored: {state: row.state, revision: row.revision}, isHeld: this.#held !== undefined && !isFinal(row.state.phase)}]
 			: [];
 	}
@@ -321,6 +343,11 @@
 		}
 
 		const next = nextShare(state.share);
+		// Where the store does not answer here, another VM may still bring it to a good end.
+		if (this.#failingSinceMs !== undefined) {
+			return undefined;
+		}
+
 		if (next !== undefined && !this.#verdict.isGood && nowMs - this.#stepMs >= scheduleOf(order.durationMs).stepMs && this.#isExposed(order, nowMs)) {
 			return 'exposure';
 		}
@@ -340,12 +367,20 @@
 	}
 
 	#forward(order: OrderInForce, state: RolloutState, facts: CoordinatorFacts, nowMs: number): Step | undefined {
-		const {movingFromMs, stepMs, endMs} = scheduleOf(order.durationMs);
+		const schedule = scheduleOf(order.durationMs);
+		const {movingFromMs, endMs, lastEndMs, minStepMs} = schedule;
 		const ageMs = nowMs - order.orderedMs;
+		const stepMs = stepMsAt(this.#stepMs - order.orderedMs, state.share, schedule);
 		const next = nextShare(state.share);
 		if (next === undefined) {
-			const hasShown = nowMs - this.#stepMs >= stepMs && this.#verdict.isGood;
-			return ageMs >= endMs || (hasShown && this.#isDrained(facts, nowMs, stepMs)) ? {phase: 'completed', reason: ageMs >= endMs ? 'time-limit' : 'version-drained', share: state.share} : undefined;
+			const sinceMs = nowMs - this.#stepMs;
+			if (ageMs >= lastEndMs || (ageMs >= endMs && sinceMs >= minStepMs)) {
+				return {phase: 'completed', reason: 'time-limit', share: state.share};
+			}
+
+			return sinceMs >= stepMs && this.#verdict.isGood && this.#isDrained(facts, nowMs, stepMs)
+				? {phase: 'completed', reason: 'version-drained', share: state.share}
+				: undefined;
 		}
 
 		const boosted = state.phase === 'trial' && nowMs - this.#stepMs >= stepMs
--- a/src/core/rollout/evidence-sum.ts
+++ b/src/core/rollout/evidence-sum.ts
@@ -25,6 +25,7 @@
 	/** Failures of the new version that were counted in this step. */
 	failures: number;
 	step: number;
+	atMs: number;
 };
 
 const totalOf = (report: EvidenceReport | undefined, side: 'before' | 'next'): Counts => {
@@ -95,8 +96,18 @@
 		}
 	}
 
+	/** VMs that have reported since a moment. Looks at all of them; called some times a second at one VM. */
+	heardSince(sinceMs: number): number {
+		let heard = 0;
+		for (const {atMs} of this.#seen.values()) {
+			heard += atMs >= sinceMs ? 1 : 0;
+		}
+
+		return heard;
+	}
+
 	/** @param vms - VMs of the fleet. */
-	take(vm: string, report: EvidenceReport, vms: number): void {
+	take(vm: string, report: EvidenceReport, {vms, nowMs}: {readonly vms: number; readonly nowMs: number}): void {
 		if (report.order !== this.#order) {
 			return;
 		}
@@ -112,7 +123,9 @@
 		const failures = seen?.step === this.#step ? seen.failures : 0;
 		const last = isSameRun ? seen.report : undefined;
 		const added = this.#addRoutes(report, last, Math.max(MIN_FAILURES_OF_VM, Math.ceil(FAILURES_OF_ALL / vms)) - failures);
-		this.#seen.set(vm, {report, failures: failures + added, step: this.#step});
+		this.#seen.set(vm, {
+			report, failures: failures + added, step: this.#step, atMs: nowMs,
+		});
 	}
 
 	/** Adds what is new in a report; returns the failures of the new version that were counted, at most `room`. */
--- a/src/core/rollout/schedule.ts
+++ b/src/core/rollout/schedule.ts
@@ -7,6 +7,8 @@
 const MOVING_FROM = 0.6;
 /** Time before the limit at which the end is written: a write takes up to a second and its news the rest. */
 const END_MARGIN_MS = 1500;
+/** The same when time was lost to failures: one call to the store that gets no answer would use it up. */
+const LAST_MARGIN_MS = 800;
 /** Bounds of the time that a step takes: an announcement reaches all VMs in about a second, and what a bad version gets in a longer step is not needed to tell it. */
 const MIN_STEP_MS = 700;
 const MAX_STEP_MS = 3000;
@@ -22,8 +24,11 @@
 export type Schedule = {
 	readonly movingFromMs: number;
 	readonly stepMs: number;
-	/** When the end is written at the latest. */
+	/** When the end is written, whatever still runs at the old version. */
 	readonly endMs: number;
+	/** The same when time was lost to failures. */
+	readonly lastEndMs: number;
+	readonly minStepMs: number;
 	/** When the next share must be written at the latest, so that all steps after it fit. */
 	readonly lastStartMs: (share: number) => number;
 };
@@ -32,12 +37,17 @@
 	const endMs = Math.max(durationMs / 2, durationMs - END_MARGIN_MS);
 	const movingFromMs = durationMs * MOVING_FROM;
 	const stepMs = Math.min(MAX_STEP_MS, Math.max(MIN_STEP_MS, (endMs - movingFromMs) / MOVING_SHARES.length * PLANNED_SHARE));
+	const lastEndMs = Math.max(endMs, durationMs - LAST_MARGIN_MS);
 	return {
-		movingFromMs, stepMs, endMs,
-		lastStartMs: share => endMs - (MIN_STEP_MS * MOVING_SHARES.filter(later => later >= share).length),
+		movingFromMs, stepMs, endMs, lastEndMs, minStepMs: MIN_STEP_MS,
+		lastStartMs: share => lastEndMs - (MIN_STEP_MS * MOVING_SHARES.filter(later => later >= share).length),
 	};
 };
 
+/** Time for the step at a share that began at that age of the order: as planned, or shorter when time was lost. */
+export const stepMsAt = (beganMs: number, share: number, {stepMs, endMs}: Schedule): number =>
+	Math.min(stepMs, Math.max(MIN_STEP_MS, (endMs - beganMs) / (MOVING_SHARES.filter(later => later > share).length + 1)));
+
 export const trialShareOf = (boundShare: number): number => Math.min(MAX_TRIAL_SHARE, boundShare * TRIAL_PART_OF_BOUND);
 
 /** The share after one; undefined after the last. */
--- a/src/core/rollout/types.ts
+++ b/src/core/rollout/types.ts
@@ -55,6 +55,8 @@
 	readonly coordinator: string;
 	/** True when the new version gets nothing more, though the row does not say so yet. */
 	readonly isHeld: boolean;
+	/** Whether the coordinator hands over, since it cannot reach the store or most of the VMs. */
+	readonly isSteppingDown?: boolean;
 	/** Milliseconds since its coordinator renewed it. */
 	readonly ageMs: number;
 	/** Milliseconds since the order was written, at the least. */
--- a/src/runtime/rollout/rollout-messages.ts
+++ b/src/runtime/rollout/rollout-messages.ts
@@ -16,16 +16,16 @@
 const isPhase = (phase: string): phase is Phase => PHASES.has(phase);
 const toAge = (ms: number): number => Math.min(MAX_AGE_MS, Math.max(0, Math.round(ms)));
 
-const encodeAnnouncement = ({service, revision, isHeld, coordinator, ageMs, orderAgeMs, state}: Announcement) => ({
-	service, isHeld, coordinator, revision: BigInt(revision), order: BigInt(state.order), to: state.to, before: [...state.before], refused: [...state.refused],
+const encodeAnnouncement = ({service, revision, isHeld, isSteppingDown = false, coordinator, ageMs, orderAgeMs, state}: Announcement) => ({
+	service, isHeld, isSteppingDown, coordinator, revision: BigInt(revision), order: BigInt(state.order), to: state.to, before: [...state.before], refused: [...state.refused],
 	phase: state.phase, share: state.share, counter: state.counter, orderedWallMs: state.orderedWallMs, ageMs: toAge(ageMs), orderAgeMs: toAge(orderAgeMs),
 });
 
 const decodeAnnouncement = ({
-	service, revision, order, to, before, refused, phase, share, counter, orderedWallMs, isHeld, coordinator, ageMs, orderAgeMs,
+	service, revision, order, to, before, refused, phase, share, counter, orderedWallMs, isHeld, isSteppingDown, coordinator, ageMs, orderAgeMs,
 }: RolloutAnnouncement): readonly Announcement[] => isPhase(phase)
 	? [{
-		service, isHeld, coordinator, ageMs, orderAgeMs, revision: Number(revision), state: {
+		service, isHeld, isSteppingDown, coordinator, ageMs, orderAgeMs, revision: Number(revision), state: {
 			order: Number(order), to, before, refused, phase, share, counter, orderedWallMs,
 		},
 	}]
--- a/src/runtime/rollout/rollout-task.ts
+++ b/src/runtime/rollout/rollout-task.ts
@@ -35,6 +35,8 @@
 	readonly bounds: ExposureBounds;
 	readonly store: RolloutStore;
 	readonly clock: Clock;
+	/** Calls back after some milliseconds unless it is cancelled; a model of the fleet has its own time. */
+	readonly later: (act: () => void, ms: number) => () => void;
 	/** Wall-clock milliseconds. */
 	readonly wallMs: () => number;
 	readonly log: Log;
@@ -65,10 +67,22 @@
 	readonly stop: () => void;
 };
 
+/** The timers of the process; one that is left over does not keep it alive. */
+export const laterByTimer: RolloutTaskOptions['later'] = (act, ms) => {
+	const timer = setTimeout(act, ms).unref();
+	return () => {
+		clearTimeout(timer);
+	};
+};
+
+/** Milliseconds for which other VMs are told that this one hands over: some reports. */
+const STEP_DOWN_TOLD_MS = 2000;
+
 /** A service that has or had an order. */
 type Managed = {
 	readonly coordinator: Coordinator;
 	readonly choice: CoordinatorChoice;
+	steppedDownMs: number;
 	reportedMs: number;
 	reported: string;
 	lanes: string;
@@ -78,7 +92,7 @@
 const versionOf = ({version = ''}: TargetRecord): string => version;
 
 export const createRolloutTask = ({
-	vm, incarnation, vms, bounds, store, clock, wallMs, log, metrics, targets, isUsable, tellPeer, onLanes,
+	vm, incarnation, vms, bounds, store, clock, later, wallMs, log, metrics, targets, isUsable, tellPeer, onLanes,
 }: RolloutTaskOptions): RolloutTask => {
 	const participant = new Participant(bounds);
 	const evidence = new EvidenceCounter(incarnation);
@@ -86,11 +100,11 @@
 	let hasRead = false;
 	let isStopped = false;
 	let isConfirming = false;
-	let timer: NodeJS.Timeout | undefined;
+	let cancelLook = (): void => undefined;
 
 	const managedOf = (service: string): Managed => {
 		const known = services.get(service) ?? {
-			coordinator: new Coordinator(bounds), choice: new CoordinatorChoice(service, vms), reportedMs: -Infinity, reported: '', lanes: '', phase: '',
+			coordinator: new Coordinator(bounds), choice: new CoordinatorChoice(service, vms), steppedDownMs: -Infinity, reportedMs: -Infinity, reported: '', lanes: '', phase: '',
 		};
 		services.set(service, known);
 		return known;
@@ -187,6 +201,17 @@
 				break;
 			}
 
+			case 'step-down': {
+				const managed = managedOf(service);
+				if (clock.nowMs() - managed.steppedDownMs > STEP_DOWN_TOLD_MS) {
+					log.warn('roll-out handed over', {service});
+					managed.steppedDownMs = clock.nowMs();
+				}
+
+				managed.choice.noteSteppedDown(vm, clock.nowMs());
+				break;
+			}
+
 			case 'announce': {
 				const order = participant.order(service);
 				participant.onAnnouncement({
@@ -235,6 +260,13 @@
 		}
 	};
 
+	/** What other VMs are told: the newest announcement, or that this VM hands over. */
+	const announcementOf = (service: string): Announcement | undefined => {
+		const announcement = participant.announcement(service, clock.nowMs());
+		const isSteppingDown = clock.nowMs() - managedOf(service).steppedDownMs <= STEP_DOWN_TOLD_MS;
+		return announcement && (isSteppingDown ? {...announcement, coordinator: vm, isSteppingDown} : announcement);
+	};
+
 	const lookAt = (service: string): void => {
 		const {choice} = managedOf(service);
 		const isOpen = participant.isOpen(service);
@@ -261,9 +293,9 @@
 		}
 
 		if (!read || (!hasRead && !states)) {
-			setTimeout(() => {
+			later(() => {
 				void confirm();
-			}, READ_RETRY_MS).unref();
+			}, READ_RETRY_MS);
 			return;
 		}
 
@@ -297,7 +329,7 @@
 		}
 
 		const isOpen = managed.some(service => participant.isOpen(service));
-		timer = setTimeout(look, isOpen ? LOOK_MS : IDLE_LOOK_MS);
+		cancelLook = later(look, isOpen ? LOOK_MS : IDLE_LOOK_MS);
 	};
 
 	look();
@@ -320,13 +352,15 @@
 				void confirm();
 			}
 		},
-		announcements: () => participant.managed().flatMap(service => participant.announcement(service, clock.nowMs()) ?? []),
+		announcements: () => participant.managed().flatMap(service => announcementOf(service) ?? []),
 		onMessage(from, {announcements, evidence: reports}) {
 			const nowMs = clock.nowMs();
 			for (const announcement of announcements) {
 				const {service, coordinator, ageMs} = announcement;
-				if (participant.onAnnouncement(announcement, nowMs)) {
-					managedOf(service).choice.noteHeard(coordinator, nowMs - ageMs, nowMs);
+				if (announcement.isSteppingDown) {
+					managedOf(service).choice.noteSteppedDown(coordinator, nowMs);
+				} else if (participant.onAnnouncement(announcement, nowMs)) {
+					managedOf(service).choice.noteHeard(coordinator, nowMs - ageMs);
 					refresh(service);
 				}
 			}
@@ -338,7 +372,7 @@
 		isReady: () => hasRead,
 		stop() {
 			isStopped = true;
-			clearTimeout(timer);
+			cancelLook();
 		},
 	};
 
@@ -351,7 +385,7 @@
 		tell(counted.service, {
 			kind: 'evidence', vm: from, report: counted, vms: vms().length,
 		});
-		const announcement = participant.announcement(counted.service, clock.nowMs());
+		const announcement = announcementOf(counted.service);
 		if (announcement) {
 			tellPeer(from, {announcements: [announcement]});
 		}
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -16,7 +16,7 @@
 import {startLoopDelay} from '../observe/loop-delay.js';
 import {type Metrics} from '../observe/metrics.js';
 import {FleetLoads} from '../../core/placement/fleet-loads.js';
-import {createRolloutTask, type RolloutTask} from '../rollout/rollout-task.js';
+import {createRolloutTask, laterByTimer, type RolloutTask} from '../rollout/rollout-task.js';
 import {createFleetView} from './fleet-view.js';
 import {startLoadExchange, type LoadExchange} from './load-exchange.js';
 import {createPlacementScheduler} from './placement-scheduler.js';
@@ -136,7 +136,7 @@
 	const shed = createLoadShed({behindMs: limits.behindMs, random});
 	const rollout: RolloutTask | undefined = bounds.exposure && source.rollouts
 		? createRolloutTask({
-			vm, incarnation, vms, bounds: bounds.exposure, store: source.rollouts, clock, wallMs: () => Date.now(), log, metrics, targets: view.targets,
+			vm, incarnation, vms, bounds: bounds.exposure, store: source.rollouts, clock, later: laterByTimer, wallMs: () => Date.now(), log, metrics, targets: view.targets,
 			isUsable: target => !target.isDraining && !view.isOut(target.dataCentre),
 			tellPeer(peer, message) {
 				peers.exchange?.tellRollouts(peer, message);
--- a/test/rollout/_decision.ts
+++ b/test/rollout/_decision.ts
@@ -149,6 +149,7 @@
 					break;
 				}
 
+				case 'step-down':
 				case 'log': {
 					break;
 				}
--- /dev/null
+++ b/test/rollout/failures.test.ts
@@ -0,0 +1,364 @@
+/** Each failure of a VM, the store or the operators in the middle of a roll-out. */
+import test, {type ExecutionContext} from 'ava';
+import {Model} from './_model.js';
+
+const ORDER_MS = 1000;
+const LIMIT_MS = ORDER_MS + 12_000;
+/** Milliseconds after which a VM has no fresh announcement. */
+const STALE_MS = 2500;
+const base = {vms: 6, requestsPerS: 250};
+
+/** A fleet whose order for `v2` is written at `ORDER_MS`; its targets come a second later. */
+const startRollout = async (failed: number, seed = 1): Promise<Model> => {
+	const model = new Model({...base, seed, failed});
+	await model.runUntil(ORDER_MS);
+	model.order('v2');
+	model.at(ORDER_MS + 1000, () => {
+		model.addTarget('n1', 'v2');
+		model.addTarget('n2', 'v2');
+	});
+	return model;
+};
+
+const checkCompleted = (t: ExecutionContext, model: Model): void => {
+	t.is(model.state?.phase, 'completed');
+	t.true(model.endMs() <= LIMIT_MS, `ended at ${model.endMs()}`);
+	t.deepEqual(model.faults(), []);
+	t.is(model.sentTo('v1', model.endMs() + 1000).length, 0, 'the old version gets nothing more');
+};
+
+const checkRolledBack = (t: ExecutionContext, model: Model): void => {
+	t.is(model.state?.phase, 'rolled-back');
+	t.true(model.endMs() <= LIMIT_MS, `ended at ${model.endMs()}`);
+	t.deepEqual(model.faults(), []);
+	t.is(model.sentTo('v2', model.endMs() + 1000).length, 0, 'the new version gets nothing more');
+};
+
+test('a fleet without faults completes a good version and rolls a bad one back', async t => {
+	const good = await startRollout(0);
+	await good.runUntil(LIMIT_MS + 2000);
+	checkCompleted(t, good);
+	const bad = await startRollout(0.3);
+	await bad.runUntil(LIMIT_MS + 2000);
+	checkRolledBack(t, bad);
+});
+
+for (const atMs of [1300, 4000, 8600, 9400]) {
+	test(`the coordinator is killed ${atMs} ms after the order`, async t => {
+		const model = await startRollout(0);
+		await model.runUntil(ORDER_MS + atMs);
+		model.kill(model.coordinator()!);
+		await model.runUntil(LIMIT_MS + 3000);
+		t.log(`${model.state?.phase}, ${model.writes.at(-1)?.reason}, at ${model.endMs() - ORDER_MS} ms`);
+		t.deepEqual(model.faults(), []);
+		t.true(model.endMs() <= LIMIT_MS);
+	});
+
+	test(`the coordinator is frozen for 4 s ${atMs} ms after the order`, async t => {
+		// A bad version is rolled back before the later moments.
+		const model = await startRollout(atMs < 4000 ? 0.3 : 0);
+		await model.runUntil(ORDER_MS + atMs);
+		model.pause(model.coordinator()!, 4000);
+		await model.runUntil(LIMIT_MS + 6000);
+		t.log(`${model.state?.phase}, ${model.writes.at(-1)?.reason}, at ${model.endMs() - ORDER_MS} ms`);
+		t.deepEqual(model.faults(), []);
+		t.true(model.endMs() <= LIMIT_MS);
+	});
+
+	test(`the coordinator is cut off from the other VMs ${atMs} ms after the order`, async t => {
+		const model = await startRollout(0);
+		await model.runUntil(ORDER_MS + atMs);
+		model.coordinator()!.group = 1;
+		await model.runUntil(LIMIT_MS + 3000);
+		t.log(`${model.state?.phase}, ${model.writes.at(-1)?.reason}, at ${model.endMs() - ORDER_MS} ms`);
+		t.deepEqual(model.faults(), []);
+		t.true(model.endMs() <= LIMIT_MS);
+	});
+
+	test(`the coordinator is cut off from the store ${atMs} ms after the order`, async t => {
+		const model = await startRollout(0);
+		await model.runUntil(ORDER_MS + atMs);
+		model.coordinator()!.reachesStore = false;
+		await model.runUntil(LIMIT_MS + 3000);
+		t.log(`${model.state?.phase}, ${model.writes.at(-1)?.reason}, at ${model.endMs() - ORDER_MS} ms`);
+		t.deepEqual(model.faults(), []);
+		t.true(model.endMs() <= LIMIT_MS);
+	});
+}
+
+test('a coordinator that dies between its hold and the write leaves a held version', async t => {
+	const model = await startRollout(0.4);
+	await model.runUntil(ORDER_MS + 1900);
+	model.fault = 'unavailable';
+	await model.runUntil(ORDER_MS + 4500);
+	model.kill(model.coordinator()!);
+	const heldFromMs = model.nowMs;
+	await model.runUntil(ORDER_MS + 6000);
+	model.fault = 'well';
+	await model.runUntil(LIMIT_MS + 2000);
+	checkRolledBack(t, model);
+	t.is(model.sentTo('v2', heldFromMs + 1000).length, 0);
+});
+
+for (const fault of ['unavailable', 'slow', 'response-lost', 'done-later'] as const) {
+	for (const failed of [0, 0.3]) {
+		test(`the store is ${fault} for 2.5 s, a version that fails ${failed} of its requests`, async t => {
+			for (const fromMs of [500, 6500, 8000]) {
+				const model = await startRollout(failed); // eslint-disable-line no-await-in-loop
+				model.at(ORDER_MS + fromMs, () => {
+					model.fault = fault;
+				});
+				model.at(ORDER_MS + fromMs + 2500, () => {
+					model.fault = 'well';
+				});
+				await model.runUntil(LIMIT_MS + 3000); // eslint-disable-line no-await-in-loop
+				t.log(`from ${fromMs} ms: ${model.state?.phase} at ${model.endMs() - ORDER_MS} ms`);
+				t.deepEqual(model.faults(), []);
+				t.true(model.endMs() <= LIMIT_MS, `${fromMs}: ended at ${model.endMs() - ORDER_MS}`);
+			}
+		});
+	}
+}
+
+for (const write of [1, 2, 3, 4, 5]) {
+	test(`the coordinator is killed right after write ${write}, before it hears of it`, async t => {
+		const model = await startRollout(0);
+		model.hooks.onApplied = vm => {
+			if (model.writes.length === write) {
+				model.kill(vm);
+			}
+		};
+
+		await model.runUntil(LIMIT_MS + 3000);
+		t.log(`${model.state?.phase}, ${model.writes.at(-1)?.reason}, at ${model.endMs() - ORDER_MS} ms`);
+		t.deepEqual(model.faults(), []);
+		t.true(model.endMs() <= LIMIT_MS);
+	});
+}
+
+test('two coordinators: one outcome, and neither writes over the other', async t => {
+	for (const failed of [0, 0.3]) {
+		const model = await startRollout(failed); // eslint-disable-line no-await-in-loop
+		// Both of its halves reach the store.
+		for (const [index, vm] of model.vms.entries()) {
+			vm.group = index % 2;
+		}
+
+		await model.runUntil(LIMIT_MS + 3000); // eslint-disable-line no-await-in-loop
+		t.log(`${model.state?.phase} at ${model.endMs() - ORDER_MS} ms`);
+		t.deepEqual(model.faults(), []);
+		t.deepEqual(model.writes.map(({state: {counter}}) => counter), model.writes.map((_, index) => index + 1));
+	}
+});
+
+test('targets of the new version that come together with the order are tried like later ones', async t => {
+	for (const failed of [0, 0.3]) {
+		const model = new Model({...base, seed: 3, failed});
+		await model.runUntil(ORDER_MS); // eslint-disable-line no-await-in-loop
+		model.addTarget('n1', 'v2');
+		model.addTarget('n2', 'v2');
+		model.order('v2');
+		await model.runUntil(LIMIT_MS + 2000); // eslint-disable-line no-await-in-loop
+		(failed === 0 ? checkCompleted : checkRolledBack)(t, model);
+		t.is(model.sentTo('v2', 0, model.writes[0]!.atMs).length, 0, 'nothing before the row');
+	}
+});
+
+test('half of the VMs are cut off from the others: one outcome, nothing beyond the bound', async t => {
+	for (const failed of [0, 0.3]) {
+		const model = await startRollout(failed); // eslint-disable-line no-await-in-loop
+		await model.runUntil(ORDER_MS + 3000); // eslint-disable-line no-await-in-loop
+		for (const vm of model.vms.slice(0, 3)) {
+			vm.group = 1;
+		}
+
+		await model.runUntil(LIMIT_MS + 3000); // eslint-disable-line no-await-in-loop
+		t.log(`${model.state?.phase}, ${model.writes.at(-1)?.reason}, at ${model.endMs() - ORDER_MS} ms`);
+		t.deepEqual(model.faults(), []);
+		t.true(model.endMs() <= LIMIT_MS);
+	}
+});
+
+test('all VMs restart in mid-roll-out and carry it to an end', async t => {
+	for (const failed of [0, 0.3]) {
+		const model = await startRollout(failed); // eslint-disable-line no-await-in-loop
+		await model.runUntil(ORDER_MS + 5000); // eslint-disable-line no-await-in-loop
+		for (const vm of model.vms) {
+			model.kill(vm);
+			model.start(vm);
+		}
+
+		await model.runUntil(LIMIT_MS + 3000); // eslint-disable-line no-await-in-loop
+		t.log(`${model.state?.phase}, ${model.writes.at(-1)?.reason}, at ${model.endMs() - ORDER_MS} ms`);
+		t.deepEqual(model.faults(), []);
+		t.true(model.endMs() <= LIMIT_MS);
+	}
+});
+
+test('a VM that restarts after completion sends to the new version alone, though the order is still there', async t => {
+	const model = await startRollout(0);
+	await model.runUntil(LIMIT_MS);
+	t.is(model.state?.phase, 'completed');
+	for (const vm of model.vms) {
+		model.kill(vm);
+		model.start(vm);
+	}
+
+	const restartMs = model.nowMs;
+	await model.runUntil(LIMIT_MS + 2000);
+	t.is(model.sentTo('v1', restartMs).length, 0);
+	t.true(model.sentTo('v2', restartMs).length > 100);
+	t.is(model.writes.at(-1)?.state.phase, 'completed');
+});
+
+test('a second order before the first has ended replaces it', async t => {
+	const model = await startRollout(0);
+	await model.runUntil(ORDER_MS + 5000);
+	model.order('v3');
+	model.addTarget('m1', 'v3');
+	await model.runUntil(ORDER_MS + 5000 + STALE_MS);
+	const staleMs = model.nowMs;
+	await model.runUntil(ORDER_MS + 5000 + 13_000);
+	t.deepEqual(model.faults(), []);
+	t.is(model.state?.to, 'v3');
+	t.is(model.state?.phase, 'completed');
+	t.true(model.state?.refused.includes('v2'));
+	t.is(model.sentTo('v2', staleMs).length, 0);
+});
+
+test('an order back to the old version moves all traffic back before it is completed', async t => {
+	const model = await startRollout(0);
+	await model.runUntil(ORDER_MS + 8500);
+	t.true(model.sentTo('v2').length > 0);
+	model.order('v1');
+	await model.runUntil(ORDER_MS + 8500 + 8000);
+	const end = model.writes.at(-1);
+	t.is(end?.state.phase, 'completed');
+	t.is(end?.state.to, 'v1');
+	t.is(model.sentTo('v2', end?.atMs).length, 0, 'nothing goes to the new version once its targets may stop');
+});
+
+test('an order that is removed is rolled back', async t => {
+	const model = await startRollout(0);
+	await model.runUntil(ORDER_MS + 5000);
+	model.order(undefined);
+	await model.runUntil(ORDER_MS + 8000);
+	t.is(model.state?.phase, 'rolled-back');
+	t.is(model.sentTo('v2', model.endMs() + 1000).length, 0);
+});
+
+test('an order removed after completion changes nothing', async t => {
+	const model = await startRollout(0);
+	await model.runUntil(LIMIT_MS);
+	model.order(undefined);
+	await model.runUntil(LIMIT_MS + 2000);
+	t.is(model.state?.phase, 'completed');
+	t.is(model.sentTo('v1', LIMIT_MS).length, 0);
+});
+
+test('new targets that crash lead to a roll-back', async t => {
+	const model = await startRollout(0);
+	await model.runUntil(ORDER_MS + 5000);
+	model.removeTargets('v2');
+	await model.runUntil(ORDER_MS + 8000);
+	t.is(model.state?.phase, 'rolled-back');
+	t.true(model.sentTo('v1', ORDER_MS + 5200).length > 100);
+});
+
+test('a VM that is added in mid-roll-out follows it', async t => {
+	const model = await startRollout(0);
+	await model.runUntil(ORDER_MS + 4000);
+	model.addVm();
+	await model.runUntil(LIMIT_MS + 2000);
+	checkCompleted(t, model);
+	t.true(model.sentTo('v2').some(({vm}) => vm === 'vm-6'));
+});
+
+test('a paused VM that resumes with stale announcements sends nothing to a version that was rolled back meanwhile', async t => {
+	for (let seed = 1; seed <= 10; seed++) {
+		const model = await startRollout(0.4, seed); // eslint-disable-line no-await-in-loop
+		await model.runUntil(ORDER_MS + 1500); // eslint-disable-line no-await-in-loop
+		const vm = model.vms.find(each => each !== model.coordinator())!;
+		model.pause(vm, 6000);
+		await model.runUntil(ORDER_MS + 10_000); // eslint-disable-line no-await-in-loop
+		t.is(model.state?.phase, 'rolled-back', `seed ${seed}`);
+		t.is(model.sentTo('v2', ORDER_MS + 7500).length, 0, `seed ${seed}`);
+	}
+});
+
+test('a version without an order gets nothing while another order is carried out', async t => {
+	const model = await startRollout(0);
+	await model.runUntil(ORDER_MS + 3000);
+	model.addTarget('m1', 'v3');
+	await model.runUntil(LIMIT_MS + 1000);
+	t.is(model.sentTo('v3').length, 0);
+});
+
+test('seeded schedules of faults: one outcome, exposure and the time to roll back within their bounds, an end in time after the faults', async t => {
+	t.timeout(300_000);
+	const outcomes = new Map<string, number>();
+	for (let seed = 1; seed <= SCHEDULES; seed++) {
+		const failed = seed % 2 === 0 ? 0.3 : 0;
+		const model = await startRollout(failed, seed); // eslint-disable-line no-await-in-loop
+		scheduleFaults(model, seed);
+		await model.runUntil(LIMIT_MS + 8000); // eslint-disable-line no-await-in-loop
+		const phase = model.state?.phase ?? 'none';
+		const key = `${failed === 0 ? 'good' : 'bad'} ${phase}`;
+		outcomes.set(key, (outcomes.get(key) ?? 0) + 1);
+		t.deepEqual(model.faults(), [], `seed ${seed}`);
+		t.true(phase === 'completed' || phase === 'rolled-back', `seed ${seed}: ${phase}`);
+	}
+
+	t.log([...outcomes].map(([key, count]) => `${key}: ${count}`).join(', '));
+});
+
+/** Schedules that are tried. */
+const SCHEDULES = 40;
+const FAULTS = 4;
+
+/** Some faults of random kinds and times, all over by the time limit. */
+function scheduleFaults(model: Model, seed: number): void {
+	const draw = (index: number): number => ((seed * 7919) + (index * 104_729)) % 9973 / 9973;
+	for (let index = 0; index < FAULTS; index++) {
+		const fromMs = ORDER_MS + (draw(index) * 9000);
+		const forMs = 500 + (draw(index + 10) * 3500);
+		const vm = model.vms[Math.floor(draw(index + 20) * model.vms.length)]!;
+		const kind = Math.floor(draw(index + 30) * 6);
+		model.at(fromMs, () => {
+			const subject = kind < 3 ? model.coordinator() ?? vm : vm;
+			switch (kind) {
+				case 0:
+				case 3: {
+					model.pause(subject, forMs);
+					break;
+				}
+
+				case 1:
+				case 4: {
+					model.kill(subject);
+					model.at(fromMs + forMs, () => {
+						if (!subject.task) {
+							model.start(subject);
+						}
+					});
+					break;
+				}
+
+				case 2: {
+					subject.group = 1;
+					model.at(fromMs + forMs, () => {
+						subject.group = 0;
+					});
+					break;
+				}
+
+				default: {
+					model.fault = (['unavailable', 'slow', 'response-lost', 'done-later'] as const)[seed % 4]!;
+					model.at(fromMs + forMs, () => {
+						model.fault = 'well';
+					});
+				}
+			}
+		});
+	}
+}
