Use a version without an order as soon as the operators' table shows none

Cause: the release of a version that had waited for that read was compared with the division of targets from before it appeared and taken for no change; its targets were placed only with the next news of them. Seen once in test/rollout/whole-path.test.ts under load.

--- a/src/runtime/rollout/rollout-task.ts
+++ b/src/runtime/rollout/rollout-task.ts
@@ -343,8 +343,12 @@
 			refresh(service);
 		},
 		onTarget(target) {
-			if (participant.onVersion(target.service, versionOf(target)) && hasRead) {
-				void confirm();
+			if (participant.onVersion(target.service, versionOf(target))) {
+				// Else its release would look like no change.
+				refresh(target.service);
+				if (hasRead) {
+					void confirm();
+				}
 			}
 		},
 		onTargetsRead() {
