--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -353,7 +353,7 @@
 	/** Whether a target may still get a request of its version. */
 	const mayGet = ({service, version = ''}: TargetRecord): boolean => {
 		const lanes = lanesOf.get(service);
-		return !rollout || !lanes || rollout.maySend(service, version, hasUsable(lanes.main));
+		return !rollout || !lanes || rollout.maySend(service, version, lanes.next === undefined || hasUsable(lanes.main));
 	};
 
 	return {
