--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -25,7 +25,7 @@
 import {createYoungCollector} from '../memory/young-collector.js';
 import {type Metrics} from '../observe/metrics.js';
 import {FleetLoads} from '../../core/placement/fleet-loads.js';
-import {createRolloutTask, type RolloutTask} from '../rollout/rollout-task.js';
+import {createRolloutTask, laterByTimer, type RolloutTask} from '../rollout/rollout-task.js';
 import {createFleetView} from './fleet-view.js';
 import {startLoadExchange, type LoadExchange} from './load-exchange.js';
 import {createPlacementScheduler, type PlacementScheduler} from './placement-scheduler.js';
@@ -178,7 +178,7 @@
 
 	const rollout: RolloutTask | undefined = bounds.exposure && source.rollouts
 		? createRolloutTask({
-			vm, incarnation, vms, bounds: bounds.exposure, store: source.rollouts, clock, wallMs: () => Date.now(), log, metrics, targets: view.targets,
+			vm, incarnation, vms, bounds: bounds.exposure, store: source.rollouts, clock, later: laterByTimer, wallMs: () => Date.now(), log, metrics, targets: view.targets,
 			isUsable: target => !target.isDraining && !view.isOut(target.dataCentre),
 			tellPeer(peer, message) {
 				peers.exchange?.tellRollouts(peer, message);
--- a/test/routing/relay-silence.test.ts
+++ b/test/routing/relay-silence.test.ts
@@ -7,6 +7,7 @@
 import {type CallerAnswer} from '../../src/runtime/entry/caller-answer.js';
 import {type Job} from '../../src/runtime/entry/job.js';
 import {silentLog} from '../../src/runtime/observe/log.js';
+import {createRecentSends} from '../../src/core/attempt/recent-sends.js';
 import {createRelayCalls} from '../../src/runtime/routing/relay-call.js';
 import {startWorksTarget} from '../../standins/works/works-target.js';
 import {targetWire} from '../../platform/target-wire.js';
@@ -48,8 +49,9 @@
 	const grant: Grant = {
 		grantId: 'g1', target: 't1', address: target.address, epoch: 0n, instance: 't1', expiresAtMs: Infinity,
 	};
+	const pool = () => agent.compose(dispatch => (options, handler) => dispatch({...options, origin: `http://${target.address}`}, handler));
 	const call = createRelayCalls({
-		wire: targetWire, pool: () => agent.compose(dispatch => (options, handler) => dispatch({...options, origin: `http://${target.address}`}, handler)),
+		wire: targetWire, pool, freshPool: pool, recentSends: createRecentSends(),
 		clock: {nowMs: () => performance.now()}, log: silentLog, observe: ignore,
 		starts: {
 			noteWritten: ignore,
