Notice requests that wait in the kernel after 120 ms without idle time

Cause: at the start of a flood the router reads only as fast as it works, and admitted too much until the rule on idle time took effect after 200 ms.

Change: 120 ms.

--- a/src/core/admission/ingress.ts
+++ b/src/core/admission/ingress.ts
@@ -40,7 +40,7 @@
  * Milliseconds without an idle one after which requests are taken to wait in the kernel: the
  * process reads only as fast as it works, so the backlog alone would show them much later.
  */
-const SATURATED_MS = 200;
+const SATURATED_MS = 120;
 /** Milliseconds of idle time that count; a turn of the loop that finds work takes less. */
 const MIN_IDLE_MS = 0.5;
 /** Part of the budget that is kept at most for requests that are open. */
