Wait for a late start as long as the route's callers stay

Cause: the wait for a prompt that starts late took 2 s or four latency targets, where the route's own longest pause may let callers stay longer.

--- a/src/runtime/routing/relay-call.ts
+++ b/src/runtime/routing/relay-call.ts
@@ -40,9 +40,6 @@
 const LOOK_AGAIN_MS = 100;
 /** Milliseconds by which a timer comes late when this process was stopped; a small VM under load is some 30 ms late. */
 const STOPPED_MS = 250;
-/** A caller gives a stream up after this many milliseconds without an event, and at least this multiple of its latency target. */
-const MIN_PATIENCE_MS = 2000;
-const PATIENCE_FACTOR = 4;
 
 export type RelayOptions = {
 	readonly wire: TargetWire;
@@ -235,7 +232,7 @@
 		const {job: {arrivedMs, route}, calls} = this.#progress;
 		const targetLatencyMs = route?.targetLatencyMs ?? STREAM_STALL_MS;
 		const fromMs = calls > 1 ? this.#writtenMs : arrivedMs;
-		return Math.min(route?.callerWaitsUntilMs ?? Infinity, fromMs + Math.max(MIN_PATIENCE_MS, targetLatencyMs * PATIENCE_FACTOR)) - targetLatencyMs;
+		return Math.min(route?.callerWaitsUntilMs ?? Infinity, fromMs + (route?.patienceMs ?? Infinity)) - targetLatencyMs;
 	}
 
 	#finish(message: Parameters<CallOptions['tell']>[0]): void {
