Test callers that do not read their streams

Cause: the slow callers' test covered plain answers only.

Change: a test of 400 callers of endless streams of events of 4 KB.

--- a/test/memory/_big-target.ts
+++ b/test/memory/_big-target.ts
@@ -5,6 +5,10 @@
 import {listen} from '../../src/runtime/entry/listen.js';
 
 const PART = Buffer.alloc(65_536, 'x');
+/** One event without its number, far larger than engines' own, so that few are needed to fill the system's buffers. */
+const EVENT_END = `\ndata: ${'x'.repeat(4000)}\n\n`;
+/** Events that are given to the connection at once. */
+const EVENTS_AT_ONCE = 16;
 
 export type BigTarget = {
 	readonly address: string;
@@ -34,9 +38,28 @@
 	writeMore();
 };
 
+/** Writes events as fast as they are read, until the other side closes. */
+const writeEvents = (res: ServerResponse): void => {
+	let id = 0;
+	const writeMore = (): void => {
+		while (!res.writableNeedDrain && !res.destroyed) {
+			let events = '';
+			for (let index = 0; index < EVENTS_AT_ONCE; index++) {
+				id++;
+				events += `id: ${id}${EVENT_END}`;
+			}
+
+			res.write(events);
+		}
+	};
+
+	res.on('drain', writeMore);
+	writeMore();
+};
+
 /**
  * Paths end in the bytes of the answer, as in `/look/1048576`; `/debit/stuck` is a request
- * whose body is never read.
+ * whose body is never read, `/brief/events` an endless stream.
  */
 export const startBigTarget = async (t: ExecutionContext): Promise<BigTarget> => {
 	let arrivals = 0;
@@ -47,6 +70,12 @@
 		}
 
 		req.resume();
+		if (req.url?.endsWith('/events')) {
+			res.writeHead(200, {...answerHead(req), 'content-type': 'text/event-stream'});
+			writeEvents(res);
+			return;
+		}
+
 		const bytes = Number(req.url?.split('/').at(-1));
 		res.writeHead(200, {...answerHead(req), 'content-length': String(bytes)});
 		writeBytes(res, bytes);
--- a/test/memory/slow-callers.test.ts
+++ b/test/memory/slow-callers.test.ts
@@ -14,6 +14,7 @@
 /** Memory of the smallest VMs. */
 const MEMORY_MB = 210;
 const SLOW_CALLERS = 600;
+const SLOW_STREAMS = 400;
 /** Larger than what the system's own buffers of two connections take. */
 const SLOW_ANSWER_BYTES = 16_000_000;
 const FAST_ANSWER_BYTES = 20_000;
@@ -88,3 +89,25 @@
 	t.true(served >= statuses.length * 0.9, `${served} of ${statuses.length}`);
 	t.false(router.hasEnded());
 });
+
+test.serial('callers that do not read their streams leave the process below its memory', async t => {
+	const target = await startBigTarget(t);
+	const router = await startRouterProcess(t, {
+		targets: {m1: target.address, m2: target.address, l1: target.address}, limits: `memory_mb = ${MEMORY_MB}\nconnections_per_team = 5000`, changes,
+	});
+	const before = router.residentMb();
+	for (let index = 0; index < SLOW_STREAMS; index += 20) {
+		// eslint-disable-next-line no-await-in-loop -- a few at a time, as callers come
+		await Promise.all(Array.from({length: 20}, async (_, offset) => openSlowCaller(t, router.callers, {
+			id: `stream-${index + offset}`, path: '/brief/events', sips: offset % 2 === 0,
+		})));
+		await delay(20); // eslint-disable-line no-await-in-loop
+	}
+
+	await delay(6000);
+	const ended = router.log().split('response ended to free memory').length - 1;
+	t.log(`before ${before.toFixed(1)} MB, peak ${router.peakMb().toFixed(1)} MB; streams ended ${ended} of ${SLOW_STREAMS}; ${target.arrivals()} requests reached targets`);
+	t.true(target.arrivals() > SLOW_STREAMS / 4, 'streams were started');
+	t.true(router.peakMb() < MEMORY_MB, `${router.peakMb().toFixed(1)} MB`);
+	t.false(router.hasEnded());
+});
