--- a/test/platform/flood.test.ts
+++ b/test/platform/flood.test.ts
@@ -124,12 +124,23 @@
 	};
 };
 
-test.serial('a flood of one team at a third of a processor: who is not answered within half a second is reported, and the flooding team gives way', async t => {
+const floodOf700: FloodPlan['teams'] = [...neighbours(2, FLOOD_TO_MS + 1000), {
+	key: FLOOD, perS: 700, fromMs: FLOOD_FROM_MS, toMs: FLOOD_TO_MS,
+}];
+
+test.serial('every caller of a VM with a third of a processor is answered within half a second in a flood of 700 connections a second', async t => {
 	const router = await startRouter(t);
 	const report = await flood({
-		port: router.port, host: HOST, durationMs: FLOOD_TO_MS + 1000, teams: [...neighbours(2, FLOOD_TO_MS + 1000), {
-			key: FLOOD, perS: 700, fromMs: FLOOD_FROM_MS, toMs: FLOOD_TO_MS,
-		}],
+		port: router.port, host: HOST, durationMs: FLOOD_TO_MS + 1000, teams: floodOf700,
+	});
+	const {late, answered} = describe(t, report);
+	t.is(late.length, 0, `${late.length} of ${answered.length}`);
+});
+
+test.serial('a team that floods a VM with a third of a processor gives way to the others', async t => {
+	const router = await startRouter(t);
+	const report = await flood({
+		port: router.port, host: HOST, durationMs: FLOOD_TO_MS + 1000, teams: floodOf700,
 	});
 	const {others, ofFlood, served} = describe(t, report);
 	t.deepEqual([...new Set(report.map(({status}) => status))].filter(status => ![0, 200, 503].includes(status)), []);
