--- a/src/core/placement/late-tries.ts
+++ b/src/core/placement/late-tries.ts
@@ -4,8 +4,8 @@
  * What holds for the first ones holds for the rest, which have the same limits.
  */
 
-/** Tries that fail, or that ask another VM, in a round: with a round every 30 ms some 66 calls a second at most. */
-const MAX_TRIES = 2;
+/** Tries that fail, or that ask another VM, in a round: with a round every 200 ms five calls a second at most. */
+const MAX_TRIES = 1;
 
 export type LateTries = {
 	readonly mayTry: () => boolean;
--- a/src/core/placement/service-queue.ts
+++ b/src/core/placement/service-queue.ts
@@ -21,8 +21,8 @@
 
 /** Milliseconds between checks of whether each late request still gets its turn; the rate of starts changes little in less. */
 const CHECK_EVERY_MS = 100;
-/** Milliseconds between rounds of late requests: a tenth of the least latency target, which they have missed; each try costs processor time, and a call to another VM in front of engines. */
-const LATE_ROUND_MS = 30;
+/** Milliseconds between rounds of late requests: a tenth of the least time for which callers stay. Each try costs processor time, and a call to another VM in front of engines. */
+const LATE_ROUND_MS = 200;
 /** Part of the time in the first tier within which a request must be expected to get its turn to count on it: requests of teams that received less come before it meanwhile. */
 const SURE_SHARE = 0.5;
 
