--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -144,7 +144,9 @@
 	return [...merged.values()];
 };
 
-export const createPlacementScheduler = ({vm, dataCentre, bounds, clock, view, vms, log, loads, random, isCurrent = () => true, isBehind, rollout, countOutcome, tellPeer}: PlacementSchedulerOptions): PlacementScheduler => {
+export const createPlacementScheduler = ({
+	vm, dataCentre, bounds, clock, view, vms, log, loads, random, isCurrent = () => true, isBehind, rollout, countOutcome, tellPeer,
+}: PlacementSchedulerOptions): PlacementScheduler => {
 	const lanesOf = new Map<string, ServiceLanes>();
 	/** Lanes that get no more requests and whose last ones run to their end. */
 	const retired = new Set<Lane>();
--- a/test/placement/_fleet-model.ts
+++ b/test/placement/_fleet-model.ts
@@ -133,8 +133,8 @@
 			}
 
 			const isInTime = firstMs - effect.ask.arrivedMs <= latencyTargetMs;
-			const isOfLateTier = effect.queue?.tier === 'late';
-			figures[isInTime ? 'inTime' : isOfLateTier ? 'servedLate' : 'late']++; // eslint-disable-line no-nested-ternary -- one figure of three
+			const lateFigure = effect.queue?.tier === 'late' ? 'servedLate' : 'late';
+			figures[isInTime ? 'inTime' : lateFigure]++;
 			tell(vm, {
 				kind: 'observe', grantId, target: id, observation: {
 					kind: 'load', load: {
