--- a/src/runtime/entry/quick-refusal.ts
+++ b/src/runtime/entry/quick-refusal.ts
@@ -47,14 +47,12 @@
 };
 
 /**
- * Writes an answer. A connection that is closed with unread bytes is reset, and the refusal
- * lost, so a body is read first, within bounds.
+ * Writes an answer after the body, or within bounds before its end; the rest is read to nowhere.
+ * A connection that is closed with unread bytes would be reset, and the refusal lost.
  */
 export const refuseAtOnce = (req: IncomingMessage, res: ServerResponse, {status, headers}: QuickAnswer): void => {
 	const write = () => {
 		res.sendDate = false;
-		// The rest of a body that is still arriving is not read.
-		res.shouldKeepAlive &&= req.complete;
 		res.writeHead(status, [...headers, 'content-length', '0']);
 		res.end();
 		if (!res.writableFinished && req.socket.writableLength > 0) {
--- a/test/routing/relay-silence.test.ts
+++ b/test/routing/relay-silence.test.ts
@@ -43,7 +43,7 @@
 			method: 'POST', path: '/', headers: {}, body: undefined,
 		},
 		route: {
-			name: 'brief', maxTargets: 2, isResumable: true, endByMs: startedMs + 5000, callerWaitsUntilMs: startedMs + 5000, targetLatencyMs: LATENCY_TARGET_MS, ...(prompt && {prompt}),
+			name: 'brief', maxTargets: 2, isResumable: true, endByMs: startedMs + 5000, callerWaitsUntilMs: startedMs + 5000, targetLatencyMs: LATENCY_TARGET_MS, patienceMs: 2000, ...(prompt && {prompt}),
 		},
 	};
 	const grant: Grant = {
