--- a/src/core/memory/memory-refusal.ts
+++ b/src/core/memory/memory-refusal.ts
@@ -1,14 +1,13 @@
 /** The refusal of a request that a VM has no memory for. */
+import {RETRY_WAIT_PART} from '../admission/retry-wait.js';
 import {RefusalError} from '../errors/refusal-error.js';
 import {VmOutOfMemory} from '../errors/refusals-data.js';
 
 /** Bounds of Retry-After in milliseconds: another VM can serve at once, and stalled callers are ended here within a second. Random, so that callers refused together do not come back together. */
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 600;
-/** Part of the time that a caller waits beyond which it does not come back. */
-const WAITS_PART = 1 / 3;
 
 /** @param waitsMs - Milliseconds that the caller waits, if it says so. */
 export const memoryRefusal = (random: () => number, waitsMs = Infinity): RefusalError => new RefusalError(VmOutOfMemory, {}, {
-	retryAfterMs: Math.min(waitsMs * WAITS_PART, MIN_RETRY_MS + (random() * (MAX_RETRY_MS - MIN_RETRY_MS))),
+	retryAfterMs: Math.min(waitsMs * RETRY_WAIT_PART, MIN_RETRY_MS + (random() * (MAX_RETRY_MS - MIN_RETRY_MS))),
 });
--- a/src/core/placement/retry-delay.ts
+++ b/src/core/placement/retry-delay.ts
@@ -3,11 +3,10 @@
  * the same delay, they would come back together and be refused again. Each one is told the
  * time at which the queue has drained and has served the refused callers before it.
  */
+import {RETRY_WAIT_PART} from '../admission/retry-wait.js';
 
 /** Milliseconds that a caller takes at least to come back: less finds the same queue. */
 const MIN_RETRY_AFTER_MS = 100;
-/** Part of the caller's remaining time above which it does not come back. */
-const MOST_OF_REMAINING = 1 / 3;
 /** Part of the delay that is added at random, since several VMs refuse at one moment. */
 const SPREAD = 0.25;
 /** Least part of the longest delay that is told where the queue takes longer than that. */
@@ -32,7 +31,7 @@
 	let toldUntilMs = -Infinity;
 	return {
 		next({drainMs, ownMs, remainingMs}, nowMs) {
-			const mostMs = Math.max(0, remainingMs * MOST_OF_REMAINING);
+			const mostMs = Math.max(0, remainingMs * RETRY_WAIT_PART);
 			const freeMs = Math.max(toldUntilMs, nowMs + Math.max(drainMs, MIN_RETRY_AFTER_MS)) + ownMs;
 			const delayMs = (freeMs - nowMs) * (1 + (SPREAD * random()));
 			if (delayMs > mostMs) {
--- a/src/runtime/entry/server-stop.ts
+++ b/src/runtime/entry/server-stop.ts
@@ -2,7 +2,7 @@
 import {once} from 'node:events';
 import {type Server, type ServerResponse} from 'node:http';
 import {Server as NetServer} from 'node:net';
-import {setImmediate as turn} from 'node:timers/promises';
+import {nextReads} from './next-reads.js';
 
 /** Turns of the event loop that are waited at most for connections that have been opened but not accepted; one is accepted a turn. */
 const MAX_ACCEPT_TURNS = 64;
@@ -32,16 +32,12 @@
 		accepted++;
 	});
 
-	/**
-	 * Resolves once the connections have been read: the first turn ends in the loop's current
-	 * round, the second after it has read. Goes on while connections are accepted.
-	 */
-	const nextReads = async (): Promise<void> => {
+	/** Resolves once the connections have been read. Goes on while connections are accepted. */
+	const readAccepted = async (): Promise<void> => {
 		let before = -1;
 		for (let turns = 0; turns < MAX_ACCEPT_TURNS && before !== accepted; turns += 2) {
 			before = accepted;
-			await turn(); // eslint-disable-line no-await-in-loop
-			await turn(); // eslint-disable-line no-await-in-loop
+			await nextReads(); // eslint-disable-line no-await-in-loop
 		}
 	};
 
@@ -49,7 +45,7 @@
 	const closeIdle = async (): Promise<void> => {
 		if (!isClosingIdle) {
 			isClosingIdle = true;
-			await nextReads();
+			await readAccepted();
 			isClosingIdle = false;
 			server.closeIdleConnections();
 		}
@@ -75,7 +71,7 @@
 		async stop() {
 			leaving = true;
 			stopping = true;
-			await nextReads();
+			await readAccepted();
 			const ended = once(server, 'close');
 			// The HTTP server's own method closes idle connections at once, also those with an unread request.
 			NetServer.prototype.close.call(server);
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -106,6 +106,7 @@
 };
 
 const refusalOf = {'no-target': NoTarget, 'too-late': DeadlinePassed, 'no-turn': DeadlineUnreachable} as const;
+
 /** The targets of a service that are placed together: all of them, or those of one side of a roll-out. */
 type Lane = {
 	readonly service: string;
@@ -270,6 +271,14 @@
 		}
 	};
 
+	const tellTargets = (service: string): void => {
+		for (const target of view.targets().values()) {
+			if (target.service === service) {
+				onTarget(target);
+			}
+		}
+	};
+
 	/** Requests that wait in a lane that is no longer used wait in the other one. */
 	const moveWaiting = (from: Lane, to: Lane): void => {
 		for (const [requestId, waiter] of waiters) {
@@ -307,12 +316,7 @@
 			lanes.next = Object.assign(createLane(config), {version: division.next});
 		}
 
-		for (const target of view.targets().values()) {
-			if (target.service === service) {
-				onTarget(target);
-			}
-		}
-
+		tellTargets(service);
 		for (const lane of retired) {
 			if (lane.service === service) {
 				moveWaiting(lane, lanes.main);
@@ -331,11 +335,10 @@
 			}
 
 			lanesOf.set(service.name, {main: createLane(service), next: undefined});
-			onLanes(service.name);
-			for (const target of view.targets().values()) {
-				if (target.service === service.name) {
-					onTarget(target);
-				}
+			if (rollout) {
+				onLanes(service.name);
+			} else {
+				tellTargets(service.name);
 			}
 		}
 	};
@@ -448,8 +451,10 @@
 			if (grant) {
 				const {lane} = grant;
 				if (rollout) {
-					const isLeaving = view.targets().get(target)?.isDraining !== false || !lane.placement.known.usable().some(({record}) => record.id === target);
-					rollout.evidence.noteEnd(grantId, result, isLeaving, clock.nowMs());
+					// Only failures are excused, and looking at all targets for each answer costs time.
+					const isExcused = result.kind === 'failed'
+						&& (view.targets().get(target)?.isDraining !== false || !lane.placement.known.usable().some(({record}) => record.id === target));
+					rollout.evidence.noteEnd(grantId, result, isExcused, clock.nowMs());
 				}
 
 				lane.open--;
--- a/src/runtime/routing/serve-request.ts
+++ b/src/runtime/routing/serve-request.ts
@@ -1,7 +1,6 @@
 /** One routed request from its first header to its end. */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
-import {setImmediate as turn} from 'node:timers/promises';
 import {type Ingress} from '../../core/admission/ingress.js';
 import {type LoadShed} from '../../core/admission/load-shed.js';
 import {type RefusalSummary} from '../../core/admission/refusal-summary.js';
@@ -14,6 +13,7 @@
 import {type AttemptContext} from '../entry/attempt-context.js';
 import {runAttempt} from '../entry/attempt-task.js';
 import {createCallerAnswer, type CallerAnswer} from '../entry/caller-answer.js';
+import {nextReads} from '../entry/next-reads.js';
 import {refuseAtOnce} from '../entry/quick-refusal.js';
 import {readBody} from '../entry/read-body.js';
 import {createJob, routeRequest} from './route-request.js';
@@ -57,16 +57,6 @@
 	answer.refuse(refusal);
 };
 
-/**
- * Resolves once the connections were read again, so that the end of a connection that
- * arrived with its request is known before the request is sent on. The first turn ends in
- * the loop's current round, the second after it has read.
- */
-const nextReads = async (): Promise<void> => {
-	await turn();
-	await turn();
-};
-
 /** Connections that have brought a request. */
 const known = new WeakSet<Socket>();
 
@@ -124,6 +114,7 @@
 			throw memoryRefusal(random, head.waitsMs);
 		}
 
+		// The end of a connection that arrived with its request is known before the request is sent on.
 		if (isBehind() || isFirstOf(req.socket)) {
 			await nextReads();
 		}
