--- /dev/null
+++ b/src/core/store-watch/store-contact.ts
@@ -0,0 +1,106 @@
+/**
+ * Decides from the outcome of calls whether the store serves this VM, and when to probe it.
+ *
+ * Fault patterns: an outage of the store, and a call that begins in an outage and gets no response
+ * although the store is back.
+ */
+import {type ContactEffect, type ContactMessage} from './types.js';
+
+/**
+ * Milliseconds between the starts of two probes of a store that does not serve this VM. A probe does
+ * not wait for the end of the one before, so the store's return is noticed within this time.
+ */
+const PROBE_INTERVAL_MS = 600;
+/** Milliseconds without a response to any VM after which the store counts as having been unavailable. Longer than a short call for changes takes at most. */
+const MAX_QUIET_MS = 3000;
+
+export class StoreContact {
+	#isServed = true;
+	#nextProbeMs = Infinity;
+	/** Time of the store's last response to this VM. */
+	#lastResponseMs: number;
+	/** Time of the store's last response to any VM, as far as this VM knows. */
+	#lastResponseToAnyVmMs: number;
+
+	constructor(nowMs: number) {
+		this.#lastResponseMs = nowMs;
+		this.#lastResponseToAnyVmMs = nowMs;
+	}
+
+	get lastResponseMs(): number {
+		return this.#lastResponseMs;
+	}
+
+	get lastResponseToAnyVmMs(): number {
+		return this.#lastResponseToAnyVmMs;
+	}
+
+	get isServed(): boolean {
+		return this.#isServed;
+	}
+
+	handle(message: ContactMessage, nowMs: number): readonly ContactEffect[] {
+		switch (message.kind) {
+			case 'answered': {
+				this.#lastResponseMs = nowMs;
+				const ended = this.#recordResponse(nowMs);
+				const wasServed = this.#isServed;
+				this.#isServed = true;
+				this.#nextProbeMs = Infinity;
+				return wasServed ? ended : [...ended, {kind: 'regained'}];
+			}
+
+			case 'answered-elsewhere': {
+				return this.#recordResponse(message.atMs);
+			}
+
+			case 'failed': {
+				return this.#onFailed(message.begunMs, nowMs);
+			}
+
+			case 'resumed': {
+				// During the pause this VM received no other VM's report of a response, so the age of the last one does not show an outage.
+				this.#lastResponseToAnyVmMs = nowMs;
+				return [];
+			}
+
+			case 'tick': {
+				return this.#probeIfDue(nowMs);
+			}
+		}
+	}
+
+	#onFailed(begunMs: number, nowMs: number): readonly ContactEffect[] {
+		if (!this.#isServed) {
+			return [];
+		}
+
+		this.#isServed = false;
+		this.#nextProbeMs = Math.max(nowMs, begunMs + PROBE_INTERVAL_MS);
+		return [{kind: 'lost'}, ...this.#probeIfDue(nowMs)];
+	}
+
+	/** Records a response to any VM; it ends an outage if there was one. */
+	#recordResponse(atMs: number): readonly ContactEffect[] {
+		const quietMs = atMs - this.#lastResponseToAnyVmMs;
+		if (quietMs < 0) {
+			return [];
+		}
+
+		this.#lastResponseToAnyVmMs = atMs;
+		return quietMs > MAX_QUIET_MS ? [{kind: 'outage-ended', quietMs}] : [];
+	}
+
+	#probeIfDue(nowMs: number): readonly ContactEffect[] {
+		if (this.#isServed) {
+			return [];
+		}
+
+		if (nowMs < this.#nextProbeMs) {
+			return [{kind: 'wake', atMs: this.#nextProbeMs}];
+		}
+
+		this.#nextProbeMs = nowMs + PROBE_INTERVAL_MS;
+		return [{kind: 'probe'}, {kind: 'wake', atMs: this.#nextProbeMs}];
+	}
+}
--- a/src/core/store-watch/table-watcher.ts
+++ b/src/core/store-watch/table-watcher.ts
@@ -6,6 +6,10 @@
  * learns of a newer change and whose own call returns nothing cancels the call and makes
  * another one.
  *
+ * A call that begins in an outage of the store may get no response even after the store is back.
+ * So after a failed call the next one is made when the store is known to serve this VM again
+ * (`store-contact.ts`), and a call that is under way at that time is made again.
+ *
  * When the store comes back from an older copy, the whole table is read again, and the first read of
  * the new era counts as a change, so that VMs which have not called the store since hear of it.
  *
@@ -20,15 +24,15 @@
 const REPORTED_CHANGE_GRACE_MS = 250;
 /** Least milliseconds between two calls that are cancelled because of other VMs' reports. */
 const MIN_CANCEL_INTERVAL_MS = 1000;
-/** Milliseconds before a failed call is made again, doubled with each consecutive failure up to the maximum. After an outage of the store, the next call is made well before the time by which a VM must know all changes again. */
+/** Least milliseconds from a second consecutive failure to the next call, doubled with each further failure up to the maximum. */
 const RETRY_MS = 250;
 const MAX_RETRY_MS = 1000;
+/** Milliseconds after a failed call until the next one, unless the store serves another call of this VM before. */
+const UNPROMPTED_RETRY_MS = 3000;
 
 /**
  * Milliseconds that a short call waits. A connection or a store that stopped responding is
- * noticed after this wait and the timeout of a call. Both together are shorter than the time
- * after which a VM must know all changes again, and than the time after which the entries of
- * targets expire because the store is unavailable.
+ * noticed after this wait and the timeout of a call.
  */
 const SHORT_WAIT_MS = 2500;
 /** Milliseconds that a long call waits, a little less than the store allows. */
@@ -61,6 +65,7 @@
 	#pendingCall: number | undefined;
 	#callCount = 0;
 	#failures = 0;
+	#failedMs = -Infinity;
 	#nextCallMs = -Infinity;
 	#behindSinceMs: number | undefined;
 	#lastCancelMs = -Infinity;
@@ -113,9 +118,13 @@
 					return [];
 				}
 
-				const pauseMs = Math.min(MAX_RETRY_MS, RETRY_MS * (2 ** this.#failures));
 				this.#failures++;
-				return this.#endCall(nowMs, pauseMs);
+				this.#failedMs = nowMs;
+				return this.#endCall(nowMs, UNPROMPTED_RETRY_MS);
+			}
+
+			case 'regained': {
+				return this.#onRegained(nowMs);
 			}
 
 			case 'heard': {
@@ -195,6 +204,21 @@
 		return [{kind: 'drop', call: cancelledCall}, ...this.#startCall(nowMs)];
 	}
 
+	/** Makes a call again that began while the store did not serve this VM, or that has failed. */
+	#onRegained(nowMs: number): readonly WatchEffect[] {
+		if (this.#pendingCall !== undefined) {
+			return this.#restartCall(nowMs);
+		}
+
+		if (this.#failures === 0) {
+			return [];
+		}
+
+		const retryMs = this.#failures === 1 ? 0 : Math.min(MAX_RETRY_MS, RETRY_MS * (2 ** (this.#failures - 2)));
+		this.#nextCallMs = Math.max(nowMs, this.#failedMs + retryMs);
+		return this.#onTick(nowMs);
+	}
+
 	#restartCall(nowMs: number): readonly WatchEffect[] {
 		const cancelledCall = this.#pendingCall;
 		return [...(cancelledCall === undefined ? [] : [{kind: 'drop', call: cancelledCall} as const]), ...this.#startCall(nowMs)];
--- a/src/core/store-watch/types.ts
+++ b/src/core/store-watch/types.ts
@@ -21,6 +21,8 @@
 	| {readonly kind: 'restored'}
 	/** The process was paused, so a call under way may have been answered long ago. */
 	| {readonly kind: 'resumed'}
+	/** The store serves this VM again after a failed call. A call that is under way may have begun before and remain without a response. */
+	| {readonly kind: 'regained'}
 	| {readonly kind: 'tick'};
 
 export type WatchEffect =
@@ -32,3 +34,26 @@
 	| {readonly kind: 'drop'; readonly call: number}
 	/** Requests a `tick` message at the time `atMs` of this VM's clock. */
 	| {readonly kind: 'wake'; readonly atMs: number};
+
+export type ContactMessage =
+	/** The store served a call of this VM. */
+	| {readonly kind: 'answered'}
+	/** The store served a call of another VM at `atMs` of this VM's clock. */
+	| {readonly kind: 'answered-elsewhere'; readonly atMs: number}
+	/** A call that began at `begunMs` was refused or got no response. */
+	| {readonly kind: 'failed'; readonly begunMs: number}
+	/** The process was paused. */
+	| {readonly kind: 'resumed'}
+	| {readonly kind: 'tick'};
+
+export type ContactEffect =
+	/** The store does not serve this VM. */
+	| {readonly kind: 'lost'}
+	/** The store serves this VM again. */
+	| {readonly kind: 'regained'}
+	/** The store has served a VM after an outage; before, it had served none for `quietMs` milliseconds. */
+	| {readonly kind: 'outage-ended'; readonly quietMs: number}
+	/** Makes a call that the store answers at once. */
+	| {readonly kind: 'probe'}
+	/** Requests a `tick` message at the time `atMs` of this VM's clock. */
+	| {readonly kind: 'wake'; readonly atMs: number};
--- a/standins/works/works-store.ts
+++ b/standins/works/works-store.ts
@@ -1,6 +1,7 @@
 /** Stand-in of the metadata store that `platform/store-client.ts` calls: rows in tables, one version counter for all, and feeds of changes. */
 import {Buffer} from 'node:buffer';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
 import {once} from 'node:events';
 import {text} from 'node:stream/consumers';
 import polka from 'polka';
@@ -9,7 +10,7 @@
 
 type Row = {readonly table: string; readonly key: string; readonly value: string | undefined; readonly version: number};
 
-/** How the store treats calls: serves them, rejects them with 503, or leaves them without a response. */
+/** How the store treats calls: serves them, rejects them with 503, or leaves them without a response, for good. */
 export type StoreMode = 'well' | 'unavailable' | 'silent';
 
 /** How the store treats a conditional transaction: executes it, executes it without a response, or attempts it later without a response. */
@@ -34,6 +35,10 @@
 	/** Discards the history: feeds that ask for changes since an earlier version fail with 410. */
 	readonly discardHistory: () => void;
 	readonly setMode: (mode: StoreMode) => void;
+	/** Rejects the next calls with 503, as many as given. */
+	readonly rejectNext: (calls: number) => void;
+	/** Leaves all connections that are open now without a response, for good; new ones are served. */
+	readonly silenceConnections: () => void;
 	/** Keeps a copy of the present state, to which `restore` goes back. */
 	readonly keepCopy: () => void;
 	/**
@@ -58,7 +63,18 @@
 	const rows = new Map<string, Row>();
 	let era = 1;
 	let copy: {readonly rows: ReadonlyMap<string, Row>; readonly version: number} = {rows: new Map(), version: 0};
+	const connections = new Set<Socket>();
+	const silentConnections = new WeakSet<Socket>();
+	/** Sends a response; in the mode `silent` and on a silent connection it is lost, and so are all that follow on this connection. */
 	const send = (res: ServerResponse, status: number, body: unknown): void => {
+		if (mode === 'silent' && res.socket) {
+			silentConnections.add(res.socket);
+		}
+
+		if (!res.socket || silentConnections.has(res.socket)) {
+			return;
+		}
+
 		res.writeHead(status, {'content-type': 'application/json', ...(hasEra && {'store-era': String(era)})}).end(JSON.stringify(body));
 	};
 
@@ -67,6 +83,7 @@
 	let oldestVersion = 0;
 	let calls = 0;
 	let mode: StoreMode = 'well';
+	let toReject = 0;
 	let transactionMode: TransactionMode = 'well';
 
 	const write = (table: string, key: string, value: string | undefined): void => {
@@ -163,12 +180,15 @@
 
 	const server = http.createServer();
 	const app = polka({server})
-		.use((_req, res, next) => {
+		.use((req, res, next) => {
 			calls++;
-			if (mode === 'well') {
-				next();
-			} else if (mode === 'unavailable') {
+			if (mode === 'silent') {
+				silentConnections.add(req.socket);
+			} else if (mode === 'unavailable' || toReject > 0) {
+				toReject = Math.max(0, toReject - 1);
 				send(res, 503, {});
+			} else {
+				next();
 			}
 		})
 		.get('/v1/rows-get', (req, res) => {
@@ -180,6 +200,12 @@
 		})
 		.post('/v1/rows-tx', transact);
 	server.on('request', app.handler);
+	server.on('connection', socket => {
+		connections.add(socket);
+		socket.once('close', () => {
+			connections.delete(socket);
+		});
+	});
 	const address = await listen(server, {host: '127.0.0.1', port: 0});
 
 	return {
@@ -201,6 +227,14 @@
 		setMode(next) {
 			mode = next;
 		},
+		rejectNext(count) {
+			toReject = count;
+		},
+		silenceConnections() {
+			for (const socket of connections) {
+				silentConnections.add(socket);
+			}
+		},
 		keepCopy() {
 			copy = {rows: new Map(rows), version};
 		},
--- /dev/null
+++ b/test/platform/store-outages.test.ts
@@ -0,0 +1,95 @@
+/** What a VM knows around outages of the store and of its connections, against the stand-in of the store. */
+import {setTimeout as delay} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {createFleetSource} from '../../platform/fleet-source.js';
+import {createStoreClient} from '../../platform/store-client.js';
+import {type FleetUpdate} from '../../src/core/routing/types.js';
+import {monotonicClock} from '../../src/runtime/monotonic-clock.js';
+import {silentLog} from '../../src/runtime/observe/log.js';
+import {createMetrics} from '../../src/runtime/observe/metrics.js';
+import {startWorksStore, type WorksStore} from '../../standins/works/works-store.js';
+import {configOf, until} from './_platform.js';
+
+/** Milliseconds after the end of a disturbance from which a VM must keep the bounds again. */
+const CONTACT_MS = 3000;
+/** Milliseconds after an acknowledged change by which it must be in force: a configuration, or that a target has left. */
+const BOUND_MS = 2000;
+const OUTAGE_MS = 3000;
+/** Calls for changes take 2.5 s at most and begin at other moments of the outage in each run. */
+const PHASES_MS = Array.from({length: 10}, (_, index) => index * 350);
+
+const entryOf = (address: string) => ({
+	service: 'tariff', address, zone: 'dc-a', version: 'v1', slots: 8, state: 'ready', cold_remaining_ms: 0, sequence: 1, born: 1000,
+});
+
+type Run = {
+	readonly store: WorksStore;
+	/** Returns the milliseconds from the call of this function until an update matches. */
+	readonly measure: (isMatch: (update: FleetUpdate) => boolean, what: string) => Promise<number>;
+};
+
+/** Starts a source that knows the target `leaves` and configuration 7. */
+const startRun = async (t: ExecutionContext): Promise<Run> => {
+	const store = await startWorksStore();
+	store.put('servers', 'leaves', entryOf('127.0.0.1:1'));
+	store.put('op', 'config', configOf(7));
+	const source = createFleetSource({
+		client: createStoreClient({
+			address: store.address, clock: monotonicClock, metrics: createMetrics(), log: silentLog,
+		}),
+		vm: 'edge-1',
+		exchange: '127.0.0.1:2',
+		clock: monotonicClock,
+		log: silentLog,
+		drainMs: BOUND_MS,
+		random: () => 0.5,
+	});
+	const updates: FleetUpdate[] = [];
+	source.start(update => {
+		updates.push(update);
+	});
+	t.teardown(async () => {
+		await source.stop();
+		await store.close();
+	});
+	const waitFor = async (isMatch: (update: FleetUpdate) => boolean, what: string) => until(t, () => updates.some(update => isMatch(update)), what);
+	await waitFor(({kind}) => kind === 'all-targets', 'targets read');
+	await waitFor(({kind}) => kind === 'config', 'configuration read');
+	return {
+		store,
+		async measure(isMatch, what) {
+			const startMs = performance.now();
+			await waitFor(isMatch, what);
+			return performance.now() - startMs;
+		},
+	};
+};
+
+const isConfig = (version: number) => (update: FleetUpdate): boolean => update.kind === 'config' && update.config.version === version;
+
+/** Runs the same fault in each phase of the calls for changes, and returns the longest of the times measured. */
+const longest = async (t: ExecutionContext, run: (run: Run) => Promise<number>): Promise<number> => {
+	const times = await Promise.all(PHASES_MS.map(async phaseMs => {
+		const started = await startRun(t);
+		await delay(phaseMs);
+		return run(started);
+	}));
+	t.log(times.map(ms => Math.round(ms)).join(' '));
+	return Math.max(...times);
+};
+
+const playOutage = async (store: WorksStore): Promise<void> => {
+	store.setMode('silent');
+	await delay(OUTAGE_MS);
+	store.setMode('well');
+};
+
+test('a configuration that was written soon after an outage of the store is in force in time, although a call from the outage gets no response', async t => {
+	const ms = await longest(t, async ({store, measure}) => {
+		await playOutage(store);
+		await delay(160);
+		store.put('op', 'config', configOf(8));
+		return measure(isConfig(8), 'configuration in force');
+	});
+	t.true(ms <= CONTACT_MS - 160, `${ms} ms`);
+});
--- a/test/store-watch/table-watcher.test.ts
+++ b/test/store-watch/table-watcher.test.ts
@@ -31,6 +31,36 @@
 	t.is(watcher.lastChangeVersion, 11);
 });
 
+test('a call that began before the store was back is made again as soon as it serves another call', t => {
+	t.deepEqual(kindsOf(waitingWatcher().handle({kind: 'regained'}, 1000)), ['drop', 'wait']);
+});
+
+test('a failed call is made again as soon as the store serves another one', t => {
+	const watcher = waitingWatcher();
+	t.deepEqual(kindsOf(watcher.handle({kind: 'failed', call: 2}, 1000)), ['wake']);
+	t.deepEqual(kindsOf(watcher.handle({kind: 'regained'}, 1010)), ['wait']);
+});
+
+test('a table whose calls fail although others are served is called at increasing intervals', t => {
+	const watcher = waitingWatcher();
+	const callTimes: number[] = [];
+	let call = 2;
+	let effects = watcher.handle({kind: 'failed', call}, 1000);
+	for (let nowMs = 1000; nowMs < 6000; nowMs += 10) {
+		effects = [...watcher.handle({kind: 'regained'}, nowMs), ...effects];
+		if (effects.some(({kind}) => kind === 'wait')) {
+			call++;
+			callTimes.push(nowMs);
+			effects = watcher.handle({kind: 'failed', call}, nowMs);
+		} else {
+			effects = [];
+		}
+	}
+
+	t.true(callTimes.length <= 8, `called at ${callTimes.join(' ')}`);
+	t.true(callTimes.length >= 5, `called at ${callTimes.join(' ')}`);
+});
+
 test('the response to a cancelled call is ignored', t => {
 	const watcher = waitingWatcher();
 	watcher.handle({kind: 'heard', version: 11}, 1000);
