--- a/src/core/store-watch/store-contact.ts
+++ b/src/core/store-watch/store-contact.ts
@@ -1,5 +1,6 @@
 /**
- * Decides from the outcome of calls whether the store serves this VM, and when to probe it.
+ * Decides from the outcome of calls whether the store serves this VM, when to probe it, and until
+ * when entries may be missing because their targets could not write them.
  *
  * Fault patterns: an outage of the store, and a call that begins in an outage and gets no response
  * although the store is back.
@@ -14,6 +15,9 @@
 /** Milliseconds without a response to any VM after which the store counts as having been unavailable. Longer than a short call for changes takes at most. */
 const MAX_QUIET_MS = 3000;
 
+/** Milliseconds after an outage of the store within which running targets have written their entries again. */
+const ENTRY_GRACE_MS = 2500;
+
 export class StoreContact {
 	#isServed = true;
 	#nextProbeMs = Infinity;
@@ -21,6 +25,7 @@
 	#lastResponseMs: number;
 	/** Time of the store's last response to any VM, as far as this VM knows. */
 	#lastResponseToAnyVmMs: number;
+	#graceUntilMs = -Infinity;
 
 	constructor(nowMs: number) {
 		this.#lastResponseMs = nowMs;
@@ -35,8 +40,9 @@
 		return this.#lastResponseToAnyVmMs;
 	}
 
-	get isServed(): boolean {
-		return this.#isServed;
+	/** Returns the time from which a missing entry means that its target has left; infinite while the store does not serve this VM. */
+	get entriesCompleteMs(): number {
+		return this.#isServed ? this.#graceUntilMs : Infinity;
 	}
 
 	handle(message: ContactMessage, nowMs: number): readonly ContactEffect[] {
@@ -44,10 +50,14 @@
 			case 'answered': {
 				this.#lastResponseMs = nowMs;
 				const ended = this.#recordResponse(nowMs);
-				const wasServed = this.#isServed;
+				if (this.#isServed) {
+					return ended;
+				}
+
 				this.#isServed = true;
 				this.#nextProbeMs = Infinity;
-				return wasServed ? ended : [...ended, {kind: 'regained'}];
+				this.#graceUntilMs = nowMs + ENTRY_GRACE_MS;
+				return [...ended, {kind: 'regained'}];
 			}
 
 			case 'answered-elsewhere': {
@@ -64,6 +74,11 @@
 				return [];
 			}
 
+			case 'restored': {
+				this.#graceUntilMs = nowMs + ENTRY_GRACE_MS;
+				return [];
+			}
+
 			case 'tick': {
 				return this.#probeIfDue(nowMs);
 			}
@@ -88,7 +103,12 @@
 		}
 
 		this.#lastResponseToAnyVmMs = atMs;
-		return quietMs > MAX_QUIET_MS ? [{kind: 'outage-ended', quietMs}] : [];
+		if (quietMs <= MAX_QUIET_MS) {
+			return [];
+		}
+
+		this.#graceUntilMs = Math.max(this.#graceUntilMs, atMs + ENTRY_GRACE_MS);
+		return [{kind: 'outage-ended', quietMs}];
 	}
 
 	#probeIfDue(nowMs: number): readonly ContactEffect[] {
--- a/src/core/store-watch/types.ts
+++ b/src/core/store-watch/types.ts
@@ -44,6 +44,8 @@
 	| {readonly kind: 'failed'; readonly begunMs: number}
 	/** The process was paused. */
 	| {readonly kind: 'resumed'}
+	/** The store came back from an older copy, which lacks entries. */
+	| {readonly kind: 'restored'}
 	| {readonly kind: 'tick'};
 
 export type ContactEffect =
@@ -57,3 +59,15 @@
 	| {readonly kind: 'probe'}
 	/** Requests a `tick` message at the time `atMs` of this VM's clock. */
 	| {readonly kind: 'wake'; readonly atMs: number};
+
+export type MissingEntriesMessage =
+	| {readonly kind: 'missing' | 'present'; readonly id: string}
+	| {readonly kind: 'tick'};
+
+export type MissingEntriesEffect =
+	/** The target has left. */
+	| {readonly kind: 'left'; readonly id: string}
+	/** The target stays in use until its entry is written again or the time for that is over. */
+	| {readonly kind: 'kept'; readonly id: string}
+	/** Requests a `tick` message at the time `atMs` of this VM's clock. */
+	| {readonly kind: 'wake'; readonly atMs: number};
--- a/test/platform/store-outages.test.ts
+++ b/test/platform/store-outages.test.ts
@@ -65,6 +65,7 @@
 	};
 };
 
+const isGone = (update: FleetUpdate): boolean => update.kind === 'target-gone' && update.id === 'leaves';
 const isConfig = (version: number) => (update: FleetUpdate): boolean => update.kind === 'config' && update.config.version === version;
 
 /** Runs the same fault in each phase of the calls for changes, and returns the longest of the times measured. */
@@ -93,3 +94,13 @@
 	});
 	t.true(ms <= CONTACT_MS - 160, `${ms} ms`);
 });
+
+test('a target that leaves after the end of an outage of the store is dropped in time, although a call from the outage fails late', async t => {
+	const ms = await longest(t, async ({store, measure}) => {
+		await playOutage(store);
+		await delay(CONTACT_MS);
+		store.drop('servers', 'leaves');
+		return measure(isGone, 'target gone');
+	});
+	t.true(ms <= BOUND_MS, `${ms} ms`);
+});
