--- a/src/core/store-watch/store-contact.ts
+++ b/src/core/store-watch/store-contact.ts
@@ -1,9 +1,10 @@
 /**
- * Decides from the outcome of calls whether the store serves this VM, when to probe it, and until
- * when entries may be missing because their targets could not write them.
+ * Decides from the outcome of calls whether the store serves this VM, when to probe it, and whether
+ * it was unavailable for so long that the entries of running targets may have expired.
  *
- * Fault patterns: an outage of the store, and a call that begins in an outage and gets no response
- * although the store is back.
+ * Fault patterns: an outage of the store, a call that begins in an outage and gets no response
+ * although the store is back, a single call that fails, connections that stop responding, and a
+ * store that serves only some of the VMs.
  */
 import {type ContactEffect, type ContactMessage} from './types.js';
 
@@ -15,16 +16,25 @@
 /** Milliseconds without a response to any VM after which the store counts as having been unavailable. Longer than a short call for changes takes at most. */
 const MAX_QUIET_MS = 3000;
 
-/** Milliseconds after an outage of the store within which running targets have written their entries again. */
-const ENTRY_GRACE_MS = 2500;
+/**
+ * Milliseconds after the end of an outage within which running targets have written their entries
+ * again. Together with the time of a probe, less than the 3 s after which a VM must know again which
+ * targets have left.
+ */
+const ENTRY_GRACE_MS = 2200;
 
 export class StoreContact {
 	#isServed = true;
 	#nextProbeMs = Infinity;
+	#isWakeRequested = false;
 	/** Time of the store's last response to this VM. */
 	#lastResponseMs: number;
 	/** Time of the store's last response to any VM, as far as this VM knows. */
 	#lastResponseToAnyVmMs: number;
+	/** Time of the first failed call since the store last responded to any VM. */
+	#firstFailureMs: number | undefined;
+	/** Whether a call that began after the first failed one has failed too. One failure alone may be that of a connection, or of a call that began in an outage that is over. */
+	#isOutage = false;
 	#graceUntilMs = -Infinity;
 
 	constructor(nowMs: number) {
@@ -56,7 +66,6 @@
 
 				this.#isServed = true;
 				this.#nextProbeMs = Infinity;
-				this.#graceUntilMs = nowMs + ENTRY_GRACE_MS;
 				return [...ended, {kind: 'regained'}];
 			}
 
@@ -68,9 +77,16 @@
 				return this.#onFailed(message.begunMs, nowMs);
 			}
 
+			case 'probe-failed': {
+				// A probe that began in an outage may fail after another one was answered.
+				return message.begunMs < this.#lastResponseMs ? [] : this.#onFailed(message.begunMs, nowMs);
+			}
+
 			case 'resumed': {
 				// During the pause this VM received no other VM's report of a response, so the age of the last one does not show an outage.
 				this.#lastResponseToAnyVmMs = nowMs;
+				this.#firstFailureMs = undefined;
+				this.#isOutage = false;
 				return [];
 			}
 
@@ -80,12 +96,15 @@
 			}
 
 			case 'tick': {
+				this.#isWakeRequested = false;
 				return this.#probeIfDue(nowMs);
 			}
 		}
 	}
 
 	#onFailed(begunMs: number, nowMs: number): readonly ContactEffect[] {
+		this.#isOutage ||= this.#firstFailureMs !== undefined && begunMs >= this.#firstFailureMs;
+		this.#firstFailureMs ??= nowMs;
 		if (!this.#isServed) {
 			return [];
 		}
@@ -102,8 +121,14 @@
 			return [];
 		}
 
+		const wasOutage = quietMs > MAX_QUIET_MS || (this.#isOutage && atMs >= (this.#firstFailureMs ?? Infinity));
 		this.#lastResponseToAnyVmMs = atMs;
-		if (quietMs <= MAX_QUIET_MS) {
+		if (atMs >= (this.#firstFailureMs ?? -Infinity)) {
+			this.#firstFailureMs = undefined;
+			this.#isOutage = false;
+		}
+
+		if (!wasOutage) {
 			return [];
 		}
 
@@ -116,11 +141,20 @@
 			return [];
 		}
 
-		if (nowMs < this.#nextProbeMs) {
-			return [{kind: 'wake', atMs: this.#nextProbeMs}];
+		const isDue = nowMs >= this.#nextProbeMs;
+		if (isDue) {
+			this.#nextProbeMs = nowMs + PROBE_INTERVAL_MS;
+		}
+
+		return [...(isDue ? [{kind: 'probe'} as const] : []), ...this.#wake()];
+	}
+
+	#wake(): readonly ContactEffect[] {
+		if (this.#isWakeRequested) {
+			return [];
 		}
 
-		this.#nextProbeMs = nowMs + PROBE_INTERVAL_MS;
-		return [{kind: 'probe'}, {kind: 'wake', atMs: this.#nextProbeMs}];
+		this.#isWakeRequested = true;
+		return [{kind: 'wake', atMs: this.#nextProbeMs}];
 	}
 }
--- a/src/core/store-watch/types.ts
+++ b/src/core/store-watch/types.ts
@@ -40,8 +40,8 @@
 	| {readonly kind: 'answered'}
 	/** The store served a call of another VM at `atMs` of this VM's clock. */
 	| {readonly kind: 'answered-elsewhere'; readonly atMs: number}
-	/** A call that began at `begunMs` was refused or got no response. */
-	| {readonly kind: 'failed'; readonly begunMs: number}
+	/** A call, or a probe, that began at `begunMs` was refused or got no response. */
+	| {readonly kind: 'failed' | 'probe-failed'; readonly begunMs: number}
 	/** The process was paused. */
 	| {readonly kind: 'resumed'}
 	/** The store came back from an older copy, which lacks entries. */
--- a/test/platform/store-outages.test.ts
+++ b/test/platform/store-outages.test.ts
@@ -24,6 +24,7 @@
 
 type Run = {
 	readonly store: WorksStore;
+	readonly updates: readonly FleetUpdate[];
 	/** Returns the milliseconds from the call of this function until an update matches. */
 	readonly measure: (isMatch: (update: FleetUpdate) => boolean, what: string) => Promise<number>;
 };
@@ -57,6 +58,7 @@
 	await waitFor(({kind}) => kind === 'config', 'configuration read');
 	return {
 		store,
+		updates,
 		async measure(isMatch, what) {
 			const startMs = performance.now();
 			await waitFor(isMatch, what);
@@ -104,3 +106,40 @@
 	});
 	t.true(ms <= BOUND_MS, `${ms} ms`);
 });
+
+test('a target that leaves after one call of a VM was refused is dropped in time', async t => {
+	const ms = await longest(t, async ({store, measure}) => {
+		store.rejectNext(1);
+		// Ends a call that waits for changes; the next one is refused.
+		store.put('op', 'config', configOf(8));
+		await measure(isConfig(8), 'configuration in force');
+		await delay(300);
+		store.drop('servers', 'leaves');
+		return measure(isGone, 'target gone');
+	});
+	t.true(ms <= BOUND_MS, `${ms} ms`);
+});
+
+// Blocks the event loop, which the other tests of this file share.
+test.serial('a target that leaves after the process stood still for seconds is dropped in time', async t => {
+	const {store, measure} = await startRun(t);
+	await delay(500);
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 3200);
+	store.drop('servers', 'leaves');
+	const ms = await measure(isGone, 'target gone');
+	t.true(ms <= 1000, `${ms} ms`);
+});
+
+test('targets whose entries expired in an outage of the store and are back 2 s after it stay in use', async t => {
+	const {store, measure, updates} = await startRun(t);
+	store.setMode('silent');
+	await delay(OUTAGE_MS + 500);
+	store.drop('servers', 'leaves');
+	store.setMode('well');
+	await delay(2000);
+	store.put('servers', 'leaves', entryOf('127.0.0.1:1'));
+	store.put('op', 'config', configOf(8));
+	await measure(isConfig(8), 'configuration in force');
+	await delay(1500);
+	t.false(updates.some(update => isGone(update)));
+});
--- a/test/store-watch/store-contact.test.ts
+++ b/test/store-watch/store-contact.test.ts
@@ -45,3 +45,90 @@
 
 	t.true(probes <= 10, `${probes} probes in 6 s`);
 });
+
+test('one call that fails is no outage: an entry that is missing afterwards means that its target has left', t => {
+	const contact = new StoreContact(0);
+	contact.handle({kind: 'answered'}, 2000);
+	contact.handle({kind: 'failed', begunMs: 1000}, 4500);
+	t.is(contact.entriesCompleteMs, Infinity);
+	contact.handle({kind: 'answered'}, 4510);
+	t.is(contact.entriesCompleteMs, -Infinity);
+});
+
+test('a second call that began in the outage before and fails late is no outage either', t => {
+	const contact = new StoreContact(0);
+	contact.handle({kind: 'failed', begunMs: 0}, 500);
+	contact.handle({kind: 'answered'}, 510);
+	contact.handle({kind: 'failed', begunMs: 0}, 900);
+	contact.handle({kind: 'probe-failed', begunMs: 505}, 1505);
+	contact.handle({kind: 'answered'}, 1510);
+	t.is(contact.entriesCompleteMs, -Infinity);
+});
+
+test('after two failures in a row, targets have a grace time from the first response to write their entries again', t => {
+	const contact = new StoreContact(0);
+	contact.handle({kind: 'failed', begunMs: 0}, 500);
+	contact.handle({kind: 'probe-failed', begunMs: 600}, 610);
+	t.deepEqual(kindsOf(contact.handle({kind: 'answered'}, 1200)), ['outage-ended', 'regained']);
+	t.is(contact.entriesCompleteMs, 3400);
+});
+
+test('a store that serves other VMs but not this one has no outage', t => {
+	const contact = new StoreContact(0);
+	for (let nowMs = 1000; nowMs < 6000; nowMs += 200) {
+		contact.handle({kind: 'failed', begunMs: nowMs - 50}, nowMs);
+		contact.handle({kind: 'answered-elsewhere', atMs: nowMs + 100}, nowMs + 110);
+	}
+
+	contact.handle({kind: 'answered'}, 6000);
+	t.is(contact.entriesCompleteMs, -Infinity);
+});
+
+test('the grace time counts from the response to the other VM, not from its report', t => {
+	const contact = new StoreContact(0);
+	contact.handle({kind: 'answered-elsewhere', atMs: 4000}, 4400);
+	t.is(contact.entriesCompleteMs, 6200);
+});
+
+test('a pause of the process is no outage', t => {
+	const contact = new StoreContact(0);
+	contact.handle({kind: 'resumed'}, 5000);
+	contact.handle({kind: 'answered'}, 5010);
+	t.is(contact.entriesCompleteMs, -Infinity);
+});
+
+/** Plays a silent outage to a VM that makes a call for changes of a second after each response; returns when entries are complete again. */
+const playOutage = (startMs: number, endMs: number): number => {
+	const contact = new StoreContact(0);
+	const calls: Array<{readonly kind: 'failed' | 'probe-failed'; readonly begunMs: number; readonly dueMs: number}> = [{kind: 'failed', begunMs: 0, dueMs: 1000}];
+	for (let nowMs = 0; nowMs < 20_000; nowMs += 10) {
+		let effects = contact.handle({kind: 'tick'}, nowMs);
+		for (const call of calls.splice(0)) {
+			const isLost = call.begunMs < endMs && call.dueMs >= startMs;
+			if (isLost && nowMs >= call.dueMs + 1000) {
+				effects = [...effects, ...contact.handle({kind: call.kind, begunMs: call.begunMs}, nowMs)];
+			} else if (isLost || nowMs < call.dueMs) {
+				calls.push(call);
+			} else {
+				contact.handle({kind: 'answered'}, nowMs);
+				calls.push({kind: 'failed', begunMs: nowMs, dueMs: nowMs + 1000});
+			}
+		}
+
+		if (effects.some(({kind}) => kind === 'probe')) {
+			calls.push({kind: 'probe-failed', begunMs: nowMs, dueMs: nowMs});
+		}
+	}
+
+	return contact.entriesCompleteMs;
+};
+
+test('entries are complete again within 3 s of the end of any outage', t => {
+	for (let startMs = 5000; startMs < 6000; startMs += 70) {
+		for (let lengthMs = 100; lengthMs < 6000; lengthMs += 130) {
+			const endMs = startMs + lengthMs;
+			const completeMs = playOutage(startMs, endMs);
+			t.true(completeMs <= endMs + 3000, `outage from ${startMs} to ${endMs}: complete at ${completeMs}`);
+		}
+	}
+});
