--- a/test/platform/restored-store.test.ts
+++ b/test/platform/restored-store.test.ts
@@ -135,6 +135,16 @@
 	return started;
 };
 
+test('a data centre that is taken out while an older read of the table is under way stays out', async t => {
+	const {store, updates} = await restoreOperatorRows(t);
+	store.delayReads(500);
+	await delay(2700);
+	store.put('op', 'evacuate/dc-b', {});
+	await until(t, () => lastOut(updates)?.has('dc-b') === true, 'second data centre out');
+	await until(t, () => lastOut(updates)?.has('dc-a') === false, 'first data centre back, its row is missing');
+	t.true(lastOut(updates)?.has('dc-b'));
+});
+
 test('a data centre whose row is missing is back soon, although the store refuses the read that shows it', async t => {
 	const {store, updates} = await restoreOperatorRows(t);
 	await delay(2200);
