--- a/src/core/store-watch/table-watcher.ts
+++ b/src/core/store-watch/table-watcher.ts
@@ -24,7 +24,7 @@
 const REPORTED_CHANGE_GRACE_MS = 250;
 /** Least milliseconds between two calls that are cancelled because of other VMs' reports. */
 const MIN_CANCEL_INTERVAL_MS = 1000;
-/** Least milliseconds from a second consecutive failure to the next call, doubled with each further failure up to the maximum. */
+/** Least milliseconds from the start of a call that failed to that of the next one, doubled with each further failure in a row up to the maximum. */
 const RETRY_MS = 250;
 const MAX_RETRY_MS = 1000;
 /** Milliseconds after a failed call until the next one, unless the store serves another call of this VM before. */
@@ -66,7 +66,7 @@
 	#pendingCall: number | undefined;
 	#callCount = 0;
 	#failures = 0;
-	#failedMs = -Infinity;
+	#callStartMs = -Infinity;
 	#nextCallMs = -Infinity;
 	#behindSinceMs: number | undefined;
 	#lastCancelMs = -Infinity;
@@ -120,7 +120,6 @@
 				}
 
 				this.#failures++;
-				this.#failedMs = nowMs;
 				return this.#endCall(nowMs, UNPROMPTED_RETRY_MS);
 			}
 
@@ -215,8 +214,7 @@
 			return [];
 		}
 
-		const retryMs = this.#failures === 1 ? 0 : Math.min(MAX_RETRY_MS, RETRY_MS * (2 ** (this.#failures - 2)));
-		this.#nextCallMs = Math.max(nowMs, this.#failedMs + retryMs);
+		this.#nextCallMs = Math.max(nowMs, this.#callStartMs + Math.min(MAX_RETRY_MS, RETRY_MS * (2 ** (this.#failures - 1))));
 		return this.#onTick(nowMs);
 	}
 
@@ -243,6 +241,7 @@
 	#startCall(nowMs: number): readonly WatchEffect[] {
 		this.#callCount++;
 		this.#pendingCall = this.#callCount;
+		this.#callStartMs = nowMs;
 		this.#nextCallMs = nowMs;
 		return this.#knownUpToVersion === undefined
 			? [{kind: 'read', call: this.#pendingCall}]
--- /dev/null
+++ b/test/store-watch/_outage-model.ts
@@ -0,0 +1,321 @@
+/**
+ * Simulates a small fleet that watches two tables of a store, with outages of the store, connections
+ * that go silent, a store that does not serve some of the VMs, paused VMs, and lost reports between
+ * VMs. Runs in virtual time without I/O and is reproducible from a seed.
+ */
+import {MissingEntries} from '../../src/core/store-watch/missing-entries.js';
+import {StoreContact} from '../../src/core/store-watch/store-contact.js';
+import {TableWatcher} from '../../src/core/store-watch/table-watcher.js';
+import {
+	type ContactMessage, type MissingEntriesMessage, type WatchEffect, type WatchMessage,
+} from '../../src/core/store-watch/types.js';
+import {createRandom} from '../../tools/load/random.js';
+
+const STEP_MS = 10;
+const END_MS = 30_000;
+const MAX_VMS = 12;
+/** Milliseconds that a call may take beyond its wait, as in the client of the store. */
+const TIMEOUT_MS = 1000;
+const REPORT_INTERVAL_MS = 200;
+/** Milliseconds of the store's response, and of a report. */
+const MAX_DELAY_MS = 20;
+/** Milliseconds after a disturbance from which a VM must keep the bound, and the bound: milliseconds from an acknowledged change until it is in force. */
+const CONTACT_MS = 3000;
+const BOUND_MS = 2000;
+/** Pause after a change of the targets, as a share of the bound. */
+const TARGETS_PAUSE_SHARE = 0.45;
+const OUTAGE_CHANCE = 0.0008;
+const SILENCE_CHANCE = 0.0004;
+const UNSERVED_CHANCE = 0.0008;
+const PAUSE_CHANCE = 0.0008;
+const CHANGE_CHANCE = 0.01;
+const LOST_REPORT_SHARE = 0.2;
+
+const TABLES = ['op', 'servers'] as const;
+type Table = typeof TABLES[number];
+
+type Change = {readonly version: number; readonly atMs: number};
+type Call = {
+	readonly table: Table | 'probe';
+	readonly effect: Extract<WatchEffect, {kind: 'read' | 'wait'}> | undefined;
+	readonly begunMs: number;
+	/** Time at which the store responds if nothing changes before. */
+	readonly dueMs: number;
+	/** Set if the response will never arrive. */
+	isLost: boolean;
+};
+
+type Timer = {readonly atMs: number; readonly run: () => void};
+
+export type OutageRun = {
+	/** Longest time by which a VM missed the bound for a change of the operators' table, and for a target that left. */
+	readonly configLateMs: number;
+	readonly departureLateMs: number;
+};
+
+/** @param canGossip - Whether VMs exchange reports. */
+export const runOutageModel = (seed: number, {canGossip = true}: {readonly canGossip?: boolean} = {}): OutageRun => {
+	const random = createRandom(seed);
+	const chance = (p: number): boolean => random.uniform() < p;
+	const size = 1 + Math.floor(random.uniform() * MAX_VMS);
+	let nowMs = 0;
+	let version = 1;
+	let outageUntilMs = -1;
+	const changes: Record<Table, Change[]> = {op: [], servers: []};
+	const lastOf = (table: Table): number => changes[table].at(-1)?.version ?? 0;
+
+	const startVm = () => {
+		const contact = new StoreContact(nowMs);
+		const missing = new MissingEntries(() => contact.entriesCompleteMs);
+		const watchers = new Map(TABLES.map(table => [table, new TableWatcher({
+			pauseMs: table === 'op' ? 0 : BOUND_MS * TARGETS_PAUSE_SHARE, vms: () => size, random: () => random.uniform(),
+		})]));
+		const left = new Set<number>();
+		let calls: Call[] = [];
+		let timers: Timer[] = [];
+		let unservedUntilMs = -1;
+		let pausedUntilMs = -1;
+		let disturbedMs = -Infinity;
+
+		const at = (atMs: number, run: () => void): void => {
+			timers.push({atMs, run});
+		};
+
+		const isServed = (): boolean => nowMs >= outageUntilMs && nowMs >= unservedUntilMs;
+		const begin = (table: Call['table'], effect: Call['effect']): void => {
+			calls.push({
+				table, effect, begunMs: nowMs, dueMs: nowMs + (random.uniform() * MAX_DELAY_MS) + (effect?.kind === 'wait' ? effect.waitMs : 0), isLost: false,
+			});
+		};
+
+		const handleWatcher = (table: Table, message: WatchMessage): void => {
+			for (const effect of watchers.get(table)!.handle(message, nowMs)) {
+				if (effect.kind === 'wake') {
+					at(effect.atMs, () => {
+						handleWatcher(table, {kind: 'tick'});
+					});
+				} else if (effect.kind === 'drop') {
+					calls = calls.filter(call => call.table !== table || call.effect?.call !== effect.call);
+				} else {
+					begin(table, effect);
+				}
+			}
+		};
+
+		const handleMissing = (message: MissingEntriesMessage): void => {
+			for (const effect of missing.handle(message, nowMs)) {
+				if (effect.kind === 'wake') {
+					at(effect.atMs, () => {
+						handleMissing({kind: 'tick'});
+					});
+				} else if (effect.kind === 'left') {
+					left.add(Number(effect.id));
+				}
+			}
+		};
+
+		const handleContact = (message: ContactMessage, watched?: string): void => {
+			for (const effect of contact.handle(message, nowMs)) {
+				switch (effect.kind) {
+					case 'wake': {
+						at(effect.atMs, () => {
+							handleContact({kind: 'tick'});
+						});
+						break;
+					}
+
+					case 'probe': {
+						begin('probe', undefined);
+						break;
+					}
+
+					case 'regained': {
+						handleMissing({kind: 'tick'});
+						for (const table of TABLES.filter(name => name !== watched)) {
+							handleWatcher(table, {kind: 'regained'});
+						}
+
+						break;
+					}
+
+					case 'lost':
+					case 'outage-ended': {
+						break;
+					}
+				}
+			}
+		};
+
+		const answer = ({table, effect}: Call): void => {
+			handleContact({kind: 'answered'}, table);
+			if (table === 'probe' || !effect || !watchers.get(table)!.isPending(effect.call)) {
+				return;
+			}
+
+			const after = effect.kind === 'wait' ? effect.afterVersion : 0;
+			const found = changes[table].filter(change => change.version > after);
+			if (table === 'servers') {
+				for (const change of found) {
+					handleMissing({kind: 'missing', id: String(change.version)});
+				}
+			}
+
+			handleWatcher(table, effect.kind === 'read'
+				? {kind: 'read', call: effect.call, version}
+				: {
+					kind: 'changes', call: effect.call, version, lastChangeVersion: found.at(-1)?.version,
+				});
+		};
+
+		const stepCall = (call: Call): void => {
+			const {table, effect} = call;
+			const hasChange = table !== 'probe' && effect?.kind === 'wait' && lastOf(table) > effect.afterVersion && nowMs >= call.begunMs + MAX_DELAY_MS;
+			call.isLost ||= !isServed() && (nowMs >= call.dueMs || hasChange || nowMs === call.begunMs);
+			if (!call.isLost && (hasChange || nowMs >= call.dueMs)) {
+				calls = calls.filter(other => other !== call);
+				answer(call);
+			} else if (nowMs >= call.dueMs + TIMEOUT_MS) {
+				calls = calls.filter(other => other !== call);
+				handleContact({kind: table === 'probe' ? 'probe-failed' : 'failed', begunMs: call.begunMs});
+				if (table !== 'probe' && effect) {
+					handleWatcher(table, {kind: 'failed', call: effect.call});
+				}
+			}
+		};
+
+		for (const table of TABLES) {
+			handleWatcher(table, {kind: 'start'});
+		}
+
+		return {
+			freshness: () => ({age: nowMs - contact.lastResponseToAnyVmMs, versions: TABLES.map(table => [table, watchers.get(table)!.lastChangeVersion] as const)}),
+			onReport(age: number, versions: ReadonlyArray<readonly [Table, number]>): void {
+				if (nowMs >= pausedUntilMs) {
+					handleContact({kind: 'answered-elsewhere', atMs: nowMs - age});
+					for (const [table, reported] of versions) {
+						handleWatcher(table, {kind: 'heard', version: reported});
+					}
+				}
+			},
+			isPaused: () => nowMs < pausedUntilMs,
+			disturb(): void {
+				disturbedMs = nowMs;
+			},
+			pauseUntil(untilMs: number): void {
+				pausedUntilMs = untilMs;
+			},
+			refuseUntil(untilMs: number): void {
+				unservedUntilMs = untilMs;
+			},
+			/** Calls that are under way get no response. */
+			silence(): void {
+				for (const call of calls) {
+					call.isLost = true;
+				}
+			},
+			step(): void {
+				if (nowMs < pausedUntilMs || !isServed()) {
+					disturbedMs = nowMs;
+				}
+
+				if (nowMs < pausedUntilMs) {
+					return;
+				}
+
+				if (pausedUntilMs >= 0) {
+					pausedUntilMs = -1;
+					handleContact({kind: 'resumed'});
+					for (const table of TABLES) {
+						handleWatcher(table, {kind: 'resumed'});
+					}
+				}
+
+				const due = timers.filter(({atMs}) => atMs <= nowMs);
+				timers = timers.filter(({atMs}) => atMs > nowMs);
+				for (const {run} of due) {
+					run();
+				}
+
+				for (const call of calls) {
+					if (calls.includes(call)) {
+						stepCall(call);
+					}
+				}
+			},
+			/** Returns by how much the bound for a change is missed. */
+			lateMs(table: Table): number {
+				const known = watchers.get(table)!.knownUpToVersion ?? 0;
+				const open = changes[table].find(change => table === 'op' ? change.version > known : !left.has(change.version));
+				return open ? nowMs - Math.max(open.atMs + BOUND_MS, disturbedMs + CONTACT_MS) : 0;
+			},
+		};
+	};
+
+	const vms = Array.from({length: size}, () => startVm());
+	const anyVm = () => vms[Math.floor(random.uniform() * size)]!;
+	const disturb = (): void => {
+		if (chance(OUTAGE_CHANCE)) {
+			outageUntilMs = nowMs + (random.uniform() * 5000);
+		}
+
+		if (chance(SILENCE_CHANCE)) {
+			for (const vm of vms) {
+				vm.silence();
+				vm.disturb();
+			}
+		}
+
+		if (chance(UNSERVED_CHANCE)) {
+			anyVm().refuseUntil(nowMs + (random.uniform() * 5000));
+		}
+
+		if (chance(PAUSE_CHANCE)) {
+			anyVm().pauseUntil(nowMs + 1000 + (random.uniform() * 4000));
+		}
+	};
+
+	const reports: Array<{readonly atMs: number; readonly run: () => void}> = [];
+	const sendReports = (): void => {
+		for (const vm of vms.filter(sender => !sender.isPaused())) {
+			const {age, versions} = vm.freshness();
+			for (const other of vms.filter(receiver => receiver !== vm && !chance(LOST_REPORT_SHARE))) {
+				reports.push({
+					atMs: nowMs + (random.uniform() * MAX_DELAY_MS),
+					run() {
+						other.onReport(age, versions);
+					},
+				});
+			}
+		}
+	};
+
+	let configLateMs = 0;
+	let departureLateMs = 0;
+	for (; nowMs < END_MS; nowMs += STEP_MS) {
+		disturb();
+		if (chance(CHANGE_CHANCE) && nowMs >= outageUntilMs) {
+			version++;
+			changes[chance(0.5) ? 'op' : 'servers'].push({version, atMs: nowMs});
+		}
+
+		if (canGossip && nowMs % REPORT_INTERVAL_MS === 0) {
+			sendReports();
+		}
+
+		for (const report of reports.splice(0)) {
+			if (report.atMs <= nowMs) {
+				report.run();
+			} else {
+				reports.push(report);
+			}
+		}
+
+		for (const vm of vms) {
+			vm.step();
+			configLateMs = Math.max(configLateMs, vm.lateMs('op'));
+			departureLateMs = Math.max(departureLateMs, vm.lateMs('servers'));
+		}
+	}
+
+	return {configLateMs, departureLateMs};
+};
