--- a/src/runtime/platform/platform-client.ts
+++ b/src/runtime/platform/platform-client.ts
@@ -4,12 +4,12 @@
  * effect.
  */
 import {setTimeout as delay} from 'node:timers/promises';
-import {Pool} from 'undici';
 import type * as z from 'zod';
 import {exchange, type HttpCall, type HttpResult} from './platform-http.js';
 import {
 	conflictResponse, rowResponse, rowsResponse, transactionResponse, vmsResponse,
 } from './platform-schema.js';
+import {createRenewablePool} from './renewable-pool.js';
 import {createRetryBudget} from './retry-budget.js';
 import {
 	type Absent, type Found, type ListedVm, type PlatformClient, type PlatformObserver, type PlatformRow, type RateLimited,
@@ -103,7 +103,7 @@
 
 /** Creates a client; it connects on first use. */
 export const createPlatformClient = ({origin, random, timeoutMs = TIMEOUT_MS, observer = {}}: PlatformClientOptions): PlatformClient => {
-	const pool = new Pool(origin, {connections: CONNECTIONS, pipelining: 1});
+	const pool = createRenewablePool(origin, {connections: CONNECTIONS, pipelining: 1});
 	const budget = createRetryBudget(RETRY_SHARE, RETRY_BURST);
 
 	const mayRetry = (reason: RetryReason): boolean => {
--- a/src/runtime/platform/platform-http.ts
+++ b/src/runtime/platform/platform-http.ts
@@ -1,5 +1,6 @@
 /** HTTP calls to the platform. A failed call states whether it may have taken effect. */
-import {type Dispatcher, errors, type Pool} from 'undici';
+import {type Dispatcher, errors} from 'undici';
+import {type RenewablePool} from './renewable-pool.js';
 import {type RateLimited, type Unavailable} from './types.js';
 
 export type HttpCall = {
@@ -45,15 +46,18 @@
 };
 
 /** Sends one call. Never rejects. */
-export const exchange = async (pool: Pool, call: HttpCall, timeoutMs: number): Promise<HttpResult> => {
+export const exchange = async (pool: RenewablePool, call: HttpCall, timeoutMs: number): Promise<HttpResult> => {
+	const signal = AbortSignal.timeout(timeoutMs);
 	try {
-		const res = await pool.request({
-			method: call.method,
-			path: call.path,
-			...(call.body !== undefined && {body: call.body, headers: {'content-type': call.contentType ?? 'application/json'}}),
-			signal: AbortSignal.timeout(timeoutMs),
+		const {res, body} = await pool.use(signal, async connections => {
+			const res = await connections.request({
+				method: call.method,
+				path: call.path,
+				...(call.body !== undefined && {body: call.body, headers: {'content-type': call.contentType ?? 'application/json'}}),
+				signal,
+			});
+			return {res, body: await res.body.text()};
 		});
-		const body = await res.body.text();
 		if (res.statusCode === TOO_MANY_REQUESTS) {
 			return {kind: 'rate_limited', retryAfterMs: retryAfterMs(res.headers)};
 		}
--- a/test/config/platform-client.test.ts
+++ b/test/config/platform-client.test.ts
@@ -1,10 +1,13 @@
 /** The platform client against the stand-in of the platform, over HTTP on loopback. */
+import http from 'node:http';
+import {type Socket} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {request} from 'undici';
 import {commit} from '../../src/runtime/platform/commit.js';
 import {createPlatformClient} from '../../src/runtime/platform/platform-client.js';
 import {createRetryBudget} from '../../src/runtime/platform/retry-budget.js';
 import {type PlatformClient, type RetryReason, type Transaction} from '../../src/runtime/platform/types.js';
+import {listen} from '../../src/runtime/entry/listen.js';
 import {startPlatform} from '../../standins/platform/platform.js';
 import {platformSettingsSchema} from '../../standins/platform/settings.js';
 
@@ -131,3 +134,31 @@
 	});
 	t.is(taken.filter(Boolean).length, 21);
 });
+
+test('after a call on a connection that went silent, the next one does not use another connection that did', async t => {
+	const silent = new WeakSet<Socket>();
+	const connections = new Set<Socket>();
+	const server = http.createServer((req, res) => {
+		connections.add(req.socket);
+		if (!silent.has(req.socket)) {
+			res.writeHead(404).end();
+		}
+	});
+	const address = await listen(server, {host: '127.0.0.1', port: 0});
+	const platform = createPlatformClient({origin: `http://${address}`, random, timeoutMs});
+	t.teardown(async () => {
+		await platform.close();
+		server.closeAllConnections();
+		server.close();
+	});
+	await Promise.all(Array.from({length: 4}, async () => platform.readRow('leases', 'a')));
+	t.is(connections.size, 4);
+	for (const connection of connections) {
+		silent.add(connection);
+	}
+
+	await platform.transact('leases', write('a', 'absent'));
+	const startMs = performance.now();
+	t.deepEqual(await platform.readRow('leases', 'a'), {kind: 'absent'});
+	t.true(performance.now() - startMs < timeoutMs, 'no further timeout');
+});
