--- a/src/core/store-watch/table-watcher.ts
+++ b/src/core/store-watch/table-watcher.ts
@@ -18,7 +18,7 @@
  * one call a second.
  */
 import {eraOf, eraStart} from './store-version.js';
-import {type WatchEffect, type WatchMessage} from './types.js';
+import {type DropReason, type WatchEffect, type WatchMessage} from './types.js';
 
 /** Milliseconds that a call may take to return a change that another VM has already reported. */
 const REPORTED_CHANGE_GRACE_MS = 250;
@@ -133,13 +133,13 @@
 
 			case 'resumed': {
 				this.#resumedCall = this.#callCount + 1;
-				return this.#restartCall(nowMs);
+				return this.#restartCall(message.kind, nowMs);
 			}
 
 			case 'restored': {
 				this.#knownUpToVersion = undefined;
 				this.#behindSinceMs = undefined;
-				return this.#restartCall(nowMs);
+				return this.#restartCall(message.kind, nowMs);
 			}
 
 			case 'tick': {
@@ -201,13 +201,13 @@
 		const cancelledCall = this.#pendingCall;
 		this.#lastCancelMs = nowMs;
 		this.#behindSinceMs = nowMs;
-		return [{kind: 'drop', call: cancelledCall}, ...this.#startCall(nowMs)];
+		return [{kind: 'drop', call: cancelledCall, reason: 'behind'}, ...this.#startCall(nowMs)];
 	}
 
 	/** Makes a call again that began while the store did not serve this VM, or that has failed. */
 	#onRegained(nowMs: number): readonly WatchEffect[] {
 		if (this.#pendingCall !== undefined) {
-			return this.#restartCall(nowMs);
+			return this.#restartCall('regained', nowMs);
 		}
 
 		if (this.#failures === 0) {
@@ -218,9 +218,9 @@
 		return this.#onTick(nowMs);
 	}
 
-	#restartCall(nowMs: number): readonly WatchEffect[] {
+	#restartCall(reason: DropReason, nowMs: number): readonly WatchEffect[] {
 		const cancelledCall = this.#pendingCall;
-		return [...(cancelledCall === undefined ? [] : [{kind: 'drop', call: cancelledCall} as const]), ...this.#startCall(nowMs)];
+		return [...(cancelledCall === undefined ? [] : [{kind: 'drop', call: cancelledCall, reason} as const]), ...this.#startCall(nowMs)];
 	}
 
 	#endCall(nowMs: number, pauseMs: number): readonly WatchEffect[] {
--- a/src/core/store-watch/types.ts
+++ b/src/core/store-watch/types.ts
@@ -25,13 +25,16 @@
 	| {readonly kind: 'regained'}
 	| {readonly kind: 'tick'};
 
+/** Why a call is given up: another VM knows of a change, or the store, or the process, was away and may have missed its response. */
+export type DropReason = 'behind' | 'regained' | 'resumed' | 'restored';
+
 export type WatchEffect =
 	/** Reads the whole table. */
 	| {readonly kind: 'read'; readonly call: number}
 	/** Asks the store for the changes after a version, and waits up to `waitMs` for the first. */
 	| {readonly kind: 'wait'; readonly call: number; readonly afterVersion: number; readonly waitMs: number}
 	/** Cancels a call and closes its connection; its response no longer counts. */
-	| {readonly kind: 'drop'; readonly call: number}
+	| {readonly kind: 'drop'; readonly call: number; readonly reason: DropReason}
 	/** Requests a `tick` message at the time `atMs` of this VM's clock. */
 	| {readonly kind: 'wake'; readonly atMs: number};
 
