--- a/standins/works/works-store.ts
+++ b/standins/works/works-store.ts
@@ -37,8 +37,8 @@
 	readonly setMode: (mode: StoreMode) => void;
 	/** Rejects the next calls with 503, as many as given. */
 	readonly rejectNext: (calls: number) => void;
-	/** Sends the responses to reads of tables this much later than the moment that they show. */
-	readonly delayReads: (ms: number) => void;
+	/** Sends rows this much later than the moment that they show. */
+	readonly delayRows: (ms: number) => void;
 	/** Leaves all connections that are open now without a response, for good; new ones are served. */
 	readonly silenceConnections: () => void;
 	/** Keeps a copy of the present state, to which `restore` goes back. */
@@ -86,7 +86,7 @@
 	let calls = 0;
 	let mode: StoreMode = 'well';
 	let toReject = 0;
-	let readDelayMs = 0;
+	let rowsDelayMs = 0;
 	let transactionMode: TransactionMode = 'well';
 
 	const write = (table: string, key: string, value: string | undefined): void => {
@@ -118,10 +118,18 @@
 	});
 	const changed = (table: string, after: number): readonly Row[] =>
 		[...rows.values()].filter(row => row.table === table && row.version > after).toSorted((a, b) => a.version - b.version);
-	const answerRows = (res: ServerResponse, found: readonly Row[], at = version): void => {
-		send(res, 200, {
-			rows: found.map(row => toWire(row)), has_more: false, schema_version: at, now_ms: 0,
-		});
+	const answerRows = (res: ServerResponse, found: readonly Row[]): void => {
+		const body = {
+			rows: found.map(row => toWire(row)), has_more: false, schema_version: version, now_ms: 0,
+		};
+		if (rowsDelayMs === 0) {
+			send(res, 200, body);
+			return;
+		}
+
+		setTimeout(() => {
+			send(res, 200, body);
+		}, rowsDelayMs);
 	};
 
 	const feed = (res: ServerResponse, query: URLSearchParams): void => {
@@ -196,11 +204,7 @@
 		})
 		.get('/v1/rows-get', (req, res) => {
 			const table = new URL(req.originalUrl, 'http://store').searchParams.get('table') ?? '';
-			const found = changed(table, -1).filter(({value}) => value !== undefined).toSorted((a, b) => a.key < b.key ? -1 : 1);
-			const at = version;
-			setTimeout(() => {
-				answerRows(res, found, at);
-			}, readDelayMs);
+			answerRows(res, changed(table, -1).filter(({value}) => value !== undefined).toSorted((a, b) => a.key < b.key ? -1 : 1));
 		})
 		.get('/v1/rows-feed', (req, res) => {
 			feed(res, new URL(req.originalUrl, 'http://store').searchParams);
@@ -237,8 +241,8 @@
 		rejectNext(count) {
 			toReject = count;
 		},
-		delayReads(ms) {
-			readDelayMs = ms;
+		delayRows(ms) {
+			rowsDelayMs = ms;
 		},
 		silenceConnections() {
 			for (const socket of connections) {
--- a/test/platform/fleet-source.test.ts
+++ b/test/platform/fleet-source.test.ts
@@ -1,26 +1,10 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
-import {createFleetSource} from '../../platform/fleet-source.js';
-import {createStoreClient} from '../../platform/store-client.js';
 import {type FleetUpdate} from '../../src/core/routing/types.js';
-import {createMetrics} from '../../src/runtime/observe/metrics.js';
 import {startWorksStore, type WorksStore} from '../../standins/works/works-store.js';
-import {silentLog} from '../../src/runtime/observe/log.js';
-import {monotonicClock} from '../../src/runtime/monotonic-clock.js';
+import {entryOf, sourceOf} from './_fleet-source.js';
 import {until} from './_platform.js';
 
-const sourceOf = (store: WorksStore) => createFleetSource({
-	client: createStoreClient({
-		address: store.address, clock: monotonicClock, metrics: createMetrics(), log: silentLog,
-	}),
-	vm: 'edge-1',
-	exchange: '127.0.0.1:2',
-	clock: monotonicClock,
-	log: silentLog,
-	drainMs: 2000,
-	random: () => 0.5,
-});
-
 /** Starts a source that stops at the end of the test, and collects its updates. */
 const startSource = (t: ExecutionContext, store: WorksStore) => {
 	const source = sourceOf(store);
@@ -35,17 +19,13 @@
 	return {source, updates};
 };
 
-const entryOf = (address: string) => ({
-	service: 'tariff', address, zone: 'dc-a', version: 'v1', slots: 8, state: 'ready', cold_remaining_ms: 0, sequence: 1, born: 1000,
-});
-
 test('a target that was added by a change and removed before the store discarded its history is reported as gone', async t => {
 	const store = await startWorksStore();
-	store.put('servers', 'stays', entryOf('127.0.0.1:1'));
+	store.put('servers', 'stays', entryOf({address: '127.0.0.1:1'}));
 	const {updates} = startSource(t, store);
 
 	await until(t, () => updates.some(({kind}) => kind === 'all-targets'), 'targets read');
-	store.put('servers', 'comes', entryOf('127.0.0.1:3'));
+	store.put('servers', 'comes', entryOf({address: '127.0.0.1:3'}));
 	await until(t, () => updates.some(item => item.kind === 'target' && item.target.id === 'comes'), 'the added target reported');
 	store.drop('servers', 'comes');
 	store.discardHistory();
@@ -80,7 +60,7 @@
 /** Returns the milliseconds from the removal of a target's entry until the source reports the target as gone. Meanwhile another VM reports that its last response from the store is at least `storeAgeMs` old. */
 const measureRemovalMs = async (t: ExecutionContext, storeAgeMs: number) => {
 	const store = await startWorksStore();
-	store.put('servers', 'leaves', entryOf('127.0.0.1:1'));
+	store.put('servers', 'leaves', entryOf({address: '127.0.0.1:1'}));
 	const {source, updates} = startSource(t, store);
 	await until(t, () => updates.some(({kind}) => kind === 'all-targets'), 'targets read');
 	const startMs = performance.now();
--- a/test/platform/restored-store.test.ts
+++ b/test/platform/restored-store.test.ts
@@ -1,33 +1,19 @@
 /** A store that comes back from an older copy in a new era, against the stand-in of the store. */
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
-import {createFleetSource} from '../../platform/fleet-source.js';
-import {createStoreClient} from '../../platform/store-client.js';
 import {eraOf} from '../../src/core/store-watch/store-version.js';
 import {type FleetUpdate} from '../../src/core/routing/types.js';
-import {monotonicClock} from '../../src/runtime/monotonic-clock.js';
-import {silentLog} from '../../src/runtime/observe/log.js';
-import {createMetrics} from '../../src/runtime/observe/metrics.js';
 import {startWorksStore, type WorksStore} from '../../standins/works/works-store.js';
+import {clientOf, entryOf, sourceOf} from './_fleet-source.js';
 import {configOf, until} from './_platform.js';
 
 /** Milliseconds after a restore by which a row that nobody wrote again counts as gone, with a margin. */
 const GRACE_MS = 3500;
 
-const entryOf = (changes: Readonly<Record<string, unknown>> = {}) => ({
-	service: 'tariff', address: '127.0.0.1:1', zone: 'dc-a', version: 'v1', slots: 8, state: 'ready', cold_remaining_ms: 0, sequence: 1, born: 1000, ...changes,
-});
-
-const clientOf = (store: WorksStore) => createStoreClient({
-	address: store.address, clock: monotonicClock, metrics: createMetrics(), log: silentLog,
-});
-
 const startSource = async (t: ExecutionContext, fill: (store: WorksStore) => void) => {
 	const store = await startWorksStore({hasEra: true});
 	fill(store);
-	const source = createFleetSource({
-		client: clientOf(store), vm: 'edge-1', exchange: '127.0.0.1:2', clock: monotonicClock, log: silentLog, drainMs: 500, random: () => 0.5,
-	});
+	const source = sourceOf(store, {drainMs: 500});
 	const updates: FleetUpdate[] = [];
 	source.start(update => {
 		updates.push(update);
@@ -137,7 +123,7 @@
 
 test('a data centre that is taken out while an older read of the table is under way stays out', async t => {
 	const {store, updates} = await restoreOperatorRows(t);
-	store.delayReads(500);
+	store.delayRows(500);
 	await delay(2700);
 	store.put('op', 'evacuate/dc-b', {});
 	await until(t, () => lastOut(updates)?.has('dc-b') === true, 'second data centre out');
@@ -161,9 +147,7 @@
 	const {store, source, updates} = await startSource(t, store => {
 		store.put('servers', 'stays', entryOf());
 	});
-	const other = createFleetSource({
-		client: clientOf(store), vm: 'edge-2', exchange: '127.0.0.1:3', clock: monotonicClock, log: silentLog, drainMs: 500, random: () => 0.5,
-	});
+	const other = sourceOf(store, {vm: 'edge-2', exchange: '127.0.0.1:3', drainMs: 500});
 	t.teardown(async () => other.stop());
 	store.keepCopy();
 	store.put('servers', 'lost', entryOf({address: '127.0.0.1:3'}));
--- a/test/routing/after-a-pause.test.ts
+++ b/test/routing/after-a-pause.test.ts
@@ -25,6 +25,8 @@
 import {HOST, KEY, until} from '../platform/_platform.js';
 
 const PAUSE_MS = 4000;
+/** Milliseconds that the store takes to respond after the pause. */
+const STORE_DELAY_MS = 300;
 
 /** Starts a scheduler of one service with one target and a clock that the test advances. */
 const startScheduler = (coldRemainingMs: number) => {
@@ -191,6 +193,8 @@
 	});
 	await delay(200);
 	const before = l1.arrivals().length;
+	// The readiness is asked for before the store has responded.
+	router.store.delayRows(STORE_DELAY_MS);
 	router.signal('SIGCONT');
 	const statuses = await Promise.all(calls);
 	await Promise.all(Array.from({length: 20}, async (_, index) => call(200 + index)));
