--- a/src/core/store-watch/store-contact.ts
+++ b/src/core/store-watch/store-contact.ts
@@ -73,12 +73,12 @@
 				return this.#recordResponse(message.atMs);
 			}
 
-			case 'failed': {
+			case 'wait-failed': {
 				return this.#onFailed(message.begunMs, nowMs);
 			}
 
-			case 'probe-failed': {
-				// A probe that began in an outage may fail after another one was answered.
+			case 'read-failed': {
+				// A read that began in an outage may fail after a later call was answered.
 				return message.begunMs < this.#lastResponseMs ? [] : this.#onFailed(message.begunMs, nowMs);
 			}
 
--- a/src/core/store-watch/types.ts
+++ b/src/core/store-watch/types.ts
@@ -43,8 +43,10 @@
 	| {readonly kind: 'answered'}
 	/** The store served a call of another VM at `atMs` of this VM's clock. */
 	| {readonly kind: 'answered-elsewhere'; readonly atMs: number}
-	/** A call, or a probe, that began at `begunMs` was refused or got no response. */
-	| {readonly kind: 'failed' | 'probe-failed'; readonly begunMs: number}
+	/** A call that began at `begunMs` and waited for changes was refused or got no response. */
+	| {readonly kind: 'wait-failed'; readonly begunMs: number}
+	/** The same of a call that the store answers at once. */
+	| {readonly kind: 'read-failed'; readonly begunMs: number}
 	/** The process was paused. */
 	| {readonly kind: 'resumed'}
 	/** The store came back from an older copy, which lacks entries. */
--- a/test/platform/store-outages.test.ts
+++ b/test/platform/store-outages.test.ts
@@ -1,13 +1,9 @@
 /** What a VM knows around outages of the store and of its connections, against the stand-in of the store. */
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
-import {createFleetSource} from '../../platform/fleet-source.js';
-import {createStoreClient} from '../../platform/store-client.js';
 import {type FleetUpdate} from '../../src/core/routing/types.js';
-import {monotonicClock} from '../../src/runtime/monotonic-clock.js';
-import {silentLog} from '../../src/runtime/observe/log.js';
-import {createMetrics} from '../../src/runtime/observe/metrics.js';
 import {startWorksStore, type WorksStore} from '../../standins/works/works-store.js';
+import {entryOf, sourceOf} from './_fleet-source.js';
 import {configOf, until} from './_platform.js';
 
 /** Milliseconds after the end of a disturbance from which a VM must keep the bounds again. */
@@ -18,10 +14,6 @@
 /** Calls for changes take 2.5 s at most and begin at other moments of the outage in each run. */
 const PHASES_MS = Array.from({length: 10}, (_, index) => index * 350);
 
-const entryOf = (address: string) => ({
-	service: 'tariff', address, zone: 'dc-a', version: 'v1', slots: 8, state: 'ready', cold_remaining_ms: 0, sequence: 1, born: 1000,
-});
-
 type Run = {
 	readonly store: WorksStore;
 	readonly updates: readonly FleetUpdate[];
@@ -32,19 +24,9 @@
 /** Starts a source that knows the target `leaves` and configuration 7. */
 const startRun = async (t: ExecutionContext): Promise<Run> => {
 	const store = await startWorksStore();
-	store.put('servers', 'leaves', entryOf('127.0.0.1:1'));
+	store.put('servers', 'leaves', entryOf());
 	store.put('op', 'config', configOf(7));
-	const source = createFleetSource({
-		client: createStoreClient({
-			address: store.address, clock: monotonicClock, metrics: createMetrics(), log: silentLog,
-		}),
-		vm: 'edge-1',
-		exchange: '127.0.0.1:2',
-		clock: monotonicClock,
-		log: silentLog,
-		drainMs: BOUND_MS,
-		random: () => 0.5,
-	});
+	const source = sourceOf(store);
 	const updates: FleetUpdate[] = [];
 	source.start(update => {
 		updates.push(update);
@@ -132,6 +114,26 @@
 	t.true(ms <= CONTACT_MS - 160, `${ms} ms`);
 });
 
+test('reads from an outage that fail after it do not make the store count as lost again', async t => {
+	const store = await startWorksStore();
+	const source = sourceOf(store);
+	t.teardown(async () => {
+		await source.stop();
+		await store.close();
+	});
+	store.setMode('silent');
+	const kinds: string[] = [];
+	source.start(({kind}) => {
+		kinds.push(kind);
+	});
+	await until(t, () => kinds.includes('source-lost'), 'store lost');
+	await delay(100);
+	store.setMode('well');
+	await until(t, () => kinds.includes('source-regained'), 'store regained');
+	await delay(CONTACT_MS);
+	t.is(kinds.filter(kind => kind === 'source-lost').length, 1);
+});
+
 // Blocks the event loop, which the other tests of this file share.
 test.serial('a target that leaves after the process stood still for seconds is dropped in time', async t => {
 	const {store, measure} = await startRun(t);
@@ -149,7 +151,7 @@
 	store.drop('servers', 'leaves');
 	store.setMode('well');
 	await delay(2000);
-	store.put('servers', 'leaves', entryOf('127.0.0.1:1'));
+	store.put('servers', 'leaves', entryOf());
 	store.put('op', 'config', configOf(8));
 	await measure(isConfig(8), 'configuration in force');
 	await delay(1500);
--- a/test/store-watch/_outage-model.ts
+++ b/test/store-watch/_outage-model.ts
@@ -176,7 +176,7 @@
 				answer(call);
 			} else if (nowMs >= call.dueMs + TIMEOUT_MS) {
 				calls = calls.filter(other => other !== call);
-				handleContact({kind: table === 'probe' ? 'probe-failed' : 'failed', begunMs: call.begunMs});
+				handleContact({kind: effect?.kind === 'wait' ? 'wait-failed' : 'read-failed', begunMs: call.begunMs});
 				if (table !== 'probe' && effect) {
 					handleWatcher(table, {kind: 'failed', call: effect.call});
 				}
--- a/test/store-watch/store-contact.test.ts
+++ b/test/store-watch/store-contact.test.ts
@@ -7,14 +7,14 @@
 test('a call that fails late makes the VM probe the store at once', t => {
 	const contact = new StoreContact(0);
 	contact.handle({kind: 'answered'}, 2000);
-	t.deepEqual(kindsOf(contact.handle({kind: 'failed', begunMs: 1000}, 4500)), ['lost', 'probe', 'wake']);
+	t.deepEqual(kindsOf(contact.handle({kind: 'wait-failed', begunMs: 1000}, 4500)), ['lost', 'probe', 'wake']);
 	t.deepEqual(kindsOf(contact.handle({kind: 'answered'}, 4510)), ['regained']);
 	t.deepEqual(kindsOf(contact.handle({kind: 'tick'}, 5100)), [], 'no probe is due any more');
 });
 
 test('the return of a silent store is noticed within 600 ms, although each probe in the outage gets no response for a second', t => {
 	const contact = new StoreContact(0);
-	let effects = contact.handle({kind: 'failed', begunMs: 0}, 1000);
+	let effects = contact.handle({kind: 'wait-failed', begunMs: 0}, 1000);
 	const probes: number[] = [];
 	for (let nowMs = 1000; nowMs < 5000; nowMs += 10) {
 		if (effects.some(({kind}) => kind === 'probe')) {
@@ -23,7 +23,7 @@
 
 		effects = contact.handle({kind: 'tick'}, nowMs);
 		for (const beganMs of probes.filter(probeMs => probeMs + 1000 === nowMs)) {
-			contact.handle({kind: 'failed', begunMs: beganMs}, nowMs);
+			contact.handle({kind: 'wait-failed', begunMs: beganMs}, nowMs);
 		}
 	}
 
@@ -35,11 +35,11 @@
 test('a store that refuses calls at once is probed no more often than a silent one', t => {
 	const contact = new StoreContact(0);
 	let probes = 0;
-	contact.handle({kind: 'failed', begunMs: 1000}, 1000);
+	contact.handle({kind: 'wait-failed', begunMs: 1000}, 1000);
 	for (let nowMs = 1000; nowMs < 7000; nowMs += 10) {
 		if (contact.handle({kind: 'tick'}, nowMs).some(({kind}) => kind === 'probe')) {
 			probes++;
-			contact.handle({kind: 'failed', begunMs: nowMs}, nowMs);
+			contact.handle({kind: 'wait-failed', begunMs: nowMs}, nowMs);
 		}
 	}
 
@@ -49,7 +49,7 @@
 test('one call that fails is no outage: an entry that is missing afterwards means that its target has left', t => {
 	const contact = new StoreContact(0);
 	contact.handle({kind: 'answered'}, 2000);
-	contact.handle({kind: 'failed', begunMs: 1000}, 4500);
+	contact.handle({kind: 'wait-failed', begunMs: 1000}, 4500);
 	t.is(contact.entriesCompleteMs, Infinity);
 	contact.handle({kind: 'answered'}, 4510);
 	t.is(contact.entriesCompleteMs, -Infinity);
@@ -57,18 +57,18 @@
 
 test('a second call that began in the outage before and fails late is no outage either', t => {
 	const contact = new StoreContact(0);
-	contact.handle({kind: 'failed', begunMs: 0}, 500);
+	contact.handle({kind: 'wait-failed', begunMs: 0}, 500);
 	contact.handle({kind: 'answered'}, 510);
-	contact.handle({kind: 'failed', begunMs: 0}, 900);
-	contact.handle({kind: 'probe-failed', begunMs: 505}, 1505);
+	contact.handle({kind: 'wait-failed', begunMs: 0}, 900);
+	contact.handle({kind: 'read-failed', begunMs: 505}, 1505);
 	contact.handle({kind: 'answered'}, 1510);
 	t.is(contact.entriesCompleteMs, -Infinity);
 });
 
 test('after two failures in a row, targets have a grace time from the first response to write their entries again', t => {
 	const contact = new StoreContact(0);
-	contact.handle({kind: 'failed', begunMs: 0}, 500);
-	contact.handle({kind: 'probe-failed', begunMs: 600}, 610);
+	contact.handle({kind: 'wait-failed', begunMs: 0}, 500);
+	contact.handle({kind: 'read-failed', begunMs: 600}, 610);
 	t.deepEqual(kindsOf(contact.handle({kind: 'answered'}, 1200)), ['outage-ended', 'regained']);
 	t.is(contact.entriesCompleteMs, 3400);
 });
@@ -76,7 +76,7 @@
 test('a store that serves other VMs but not this one has no outage', t => {
 	const contact = new StoreContact(0);
 	for (let nowMs = 1000; nowMs < 6000; nowMs += 200) {
-		contact.handle({kind: 'failed', begunMs: nowMs - 50}, nowMs);
+		contact.handle({kind: 'wait-failed', begunMs: nowMs - 50}, nowMs);
 		contact.handle({kind: 'answered-elsewhere', atMs: nowMs + 100}, nowMs + 110);
 	}
 
@@ -100,7 +100,7 @@
 /** Plays a silent outage to a VM that makes a call for changes of a second after each response; returns when entries are complete again. */
 const playOutage = (startMs: number, endMs: number): number => {
 	const contact = new StoreContact(0);
-	const calls: Array<{readonly kind: 'failed' | 'probe-failed'; readonly begunMs: number; readonly dueMs: number}> = [{kind: 'failed', begunMs: 0, dueMs: 1000}];
+	const calls: Array<{readonly kind: 'wait-failed' | 'read-failed'; readonly begunMs: number; readonly dueMs: number}> = [{kind: 'wait-failed', begunMs: 0, dueMs: 1000}];
 	for (let nowMs = 0; nowMs < 20_000; nowMs += 10) {
 		let effects = contact.handle({kind: 'tick'}, nowMs);
 		for (const call of calls.splice(0)) {
@@ -111,12 +111,12 @@
 				calls.push(call);
 			} else {
 				contact.handle({kind: 'answered'}, nowMs);
-				calls.push({kind: 'failed', begunMs: nowMs, dueMs: nowMs + 1000});
+				calls.push({kind: 'wait-failed', begunMs: nowMs, dueMs: nowMs + 1000});
 			}
 		}
 
 		if (effects.some(({kind}) => kind === 'probe')) {
-			calls.push({kind: 'probe-failed', begunMs: nowMs, dueMs: nowMs});
+			calls.push({kind: 'read-failed', begunMs: nowMs, dueMs: nowMs});
 		}
 	}
 
