--- a/test/platform/restored-store.test.ts
+++ b/test/platform/restored-store.test.ts
@@ -2,6 +2,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {eraOf} from '../../src/core/store-watch/store-version.js';
+import {type FleetSourceOptions} from '../../platform/fleet-source.js';
 import {type FleetUpdate} from '../../src/core/routing/types.js';
 import {startWorksStore, type WorksStore} from '../../standins/works/works-store.js';
 import {clientOf, entryOf, sourceOf} from './_fleet-source.js';
@@ -10,10 +11,10 @@
 /** Milliseconds after a restore by which a row that nobody wrote again counts as gone, with a margin. */
 const GRACE_MS = 3500;
 
-const startSource = async (t: ExecutionContext, fill: (store: WorksStore) => void) => {
+const startSource = async (t: ExecutionContext, fill: (store: WorksStore) => void, options: Partial<FleetSourceOptions> = {}) => {
 	const store = await startWorksStore({hasEra: true});
 	fill(store);
-	const source = sourceOf(store, {drainMs: 500});
+	const source = sourceOf(store, {drainMs: 500, ...options});
 	const updates: FleetUpdate[] = [];
 	source.start(update => {
 		updates.push(update);
@@ -102,6 +103,21 @@
 	await until(t, () => lastOut(updates)?.has('dc-a') === false, 'the operator did not write its row again');
 });
 
+test('a data centre whose row is missing is back soon, although the timer of its grace time fires early', async t => {
+	const {store, updates} = await startSource(t, store => {
+		store.put('op', 'config', configOf(3));
+	}, {clock: {nowMs: () => performance.now() * 0.98}});
+	store.keepCopy();
+	store.put('op', 'evacuate/dc-a', {});
+	await until(t, () => lastOut(updates)?.has('dc-a') === true, 'data centre out');
+	store.restore();
+	await delay(GRACE_MS);
+	store.put('op', 'config', configOf(4));
+	const startMs = performance.now();
+	await until(t, () => lastOut(updates)?.has('dc-a') === false, 'data centre back');
+	t.true(performance.now() - startMs <= GRACE_MS);
+});
+
 /** Restores a copy without rows of the operator, and writes the configuration again; the table is read once more 2.5 s later. */
 const restoreOperatorRows = async (t: ExecutionContext) => {
 	const started = await startSource(t, store => {
