--- a/src/core/store-watch/store-contact.ts
+++ b/src/core/store-watch/store-contact.ts
@@ -6,6 +6,7 @@
  * although the store is back, a single call that fails, connections that stop responding, and a
  * store that serves only some of the VMs.
  */
+import {mayWaitLong} from './table-watcher.js';
 import {type ContactEffect, type ContactMessage} from './types.js';
 
 /**
@@ -15,6 +16,11 @@
 const PROBE_INTERVAL_MS = 600;
 /** Milliseconds without a response to any VM after which the store counts as having been unavailable. Longer than a short call for changes takes at most. */
 const MAX_QUIET_MS = 3000;
+/** The same for a VM whose own calls may wait long, and which learns of responses from reports that pass through other VMs. */
+const MAX_REPORTED_QUIET_MS = 4000;
+
+/** Milliseconds from the first failure after which an outage is reported to other VMs. Longer than a short call waits: if the store served others, this VM would have heard of it. */
+const MIN_REPORTED_OUTAGE_MS = 2000;
 
 /**
  * Milliseconds after the end of an outage within which running targets have written their entries
@@ -36,8 +42,11 @@
 	/** Whether a call that began after the first failed one has failed too. One failure alone may be that of a connection, or of a call that began in an outage that is over. */
 	#isOutage = false;
 	#graceUntilMs = -Infinity;
+	/** Returns the number of VMs in the fleet, as known now. */
+	readonly #vms: () => number;
 
-	constructor(nowMs: number) {
+	constructor(vms: () => number, nowMs: number) {
+		this.#vms = vms;
 		this.#lastResponseMs = nowMs;
 		this.#lastResponseToAnyVmMs = nowMs;
 	}
@@ -55,6 +64,11 @@
 		return this.#isServed ? this.#graceUntilMs : Infinity;
 	}
 
+	/** Returns the time of the first failed call of an outage that is not over and that other VMs may rely on; undefined if there is none. */
+	outageSinceMs(nowMs: number): number | undefined {
+		return this.#isOutage && nowMs >= (this.#firstFailureMs ?? Infinity) + MIN_REPORTED_OUTAGE_MS ? this.#firstFailureMs : undefined;
+	}
+
 	handle(message: ContactMessage, nowMs: number): readonly ContactEffect[] {
 		switch (message.kind) {
 			case 'answered': {
@@ -73,7 +87,18 @@
 				return this.#recordResponse(message.atMs);
 			}
 
-			case 'wait-failed': {
+			case 'outage-elsewhere': {
+				// A VM whose own calls are short judges by them, since the store may just not serve the sender.
+				// A response that this VM knows of shows that the store did serve in that time.
+				if (mayWaitLong(this.#vms()) && message.sinceMs > this.#lastResponseToAnyVmMs) {
+					this.#firstFailureMs = Math.min(this.#firstFailureMs ?? Infinity, message.sinceMs);
+					this.#isOutage = true;
+				}
+
+				return [];
+			}
+
+			case 'watch-failed': {
 				return this.#onFailed(message.begunMs, nowMs);
 			}
 
@@ -121,7 +146,8 @@
 			return [];
 		}
 
-		const wasOutage = quietMs > MAX_QUIET_MS || (this.#isOutage && atMs >= (this.#firstFailureMs ?? Infinity));
+		const maxQuietMs = mayWaitLong(this.#vms()) ? MAX_REPORTED_QUIET_MS : MAX_QUIET_MS;
+		const wasOutage = quietMs > maxQuietMs || (this.#isOutage && atMs >= (this.#firstFailureMs ?? Infinity));
 		this.#lastResponseToAnyVmMs = atMs;
 		if (atMs >= (this.#firstFailureMs ?? -Infinity)) {
 			this.#firstFailureMs = undefined;
--- a/src/core/store-watch/table-watcher.ts
+++ b/src/core/store-watch/table-watcher.ts
@@ -40,14 +40,19 @@
 const LONG_WAIT_MS = 28_000;
 /** Milliseconds that the first call after a pause of the process waits, so that its response soon shows whether anything changed. */
 const RESUMED_WAIT_MS = 1;
+/** VMs up to which all calls of a fleet are short. */
+const SMALL_FLEET_VMS = 16;
 /**
- * Average number of VMs whose calls are short. Each VM draws at random whether its calls are
+ * Average number of VMs of a larger fleet whose calls are short. Each VM draws at random whether its calls are
  * short, and draws again after about the time of a long call. When it draws does not depend on
  * its calls, so the average stays the same. The chance that no VM makes short calls is one in
  * 100,000.
  */
 const SHORT_CALL_VMS = 12;
 
+/** Whether calls for changes may wait long in a fleet of this size. */
+export const mayWaitLong = (vms: number): boolean => vms > SMALL_FLEET_VMS;
+
 export type TableWatcherOptions = {
 	/** Milliseconds from the receipt of a change to the next call. */
 	readonly pauseMs: number;
@@ -235,7 +240,7 @@
 			this.#waitDraw = {draw: random(), untilMs: nowMs + (LONG_WAIT_MS * (0.5 + random()))};
 		}
 
-		return this.#waitDraw.draw * vms() < SHORT_CALL_VMS ? SHORT_WAIT_MS : LONG_WAIT_MS;
+		return mayWaitLong(vms()) && this.#waitDraw.draw * vms() >= SHORT_CALL_VMS ? LONG_WAIT_MS : SHORT_WAIT_MS;
 	}
 
 	#startCall(nowMs: number): readonly WatchEffect[] {
--- a/src/core/store-watch/types.ts
+++ b/src/core/store-watch/types.ts
@@ -5,6 +5,8 @@
 	readonly versions: ReadonlyMap<string, number>;
 	/** Milliseconds since the store last answered any VM, as far as the sender knows. */
 	readonly storeAgeMs: number;
+	/** Milliseconds since the first of the calls that the store has not served, if the sender takes this for an outage that is not over. */
+	readonly outageAgeMs: number | undefined;
 };
 
 export type WatchMessage =
@@ -43,9 +45,11 @@
 	| {readonly kind: 'answered'}
 	/** The store served a call of another VM at `atMs` of this VM's clock. */
 	| {readonly kind: 'answered-elsewhere'; readonly atMs: number}
-	/** A call that began at `begunMs` and waited for changes was refused or got no response. */
-	| {readonly kind: 'wait-failed'; readonly begunMs: number}
-	/** The same of a call that the store answers at once. */
+	/** Another VM takes the failures of its calls since `sinceMs` of this VM's clock for an outage. */
+	| {readonly kind: 'outage-elsewhere'; readonly sinceMs: number}
+	/** A watcher's call that began at `begunMs` was refused or got no response. */
+	| {readonly kind: 'watch-failed'; readonly begunMs: number}
+	/** The same of another call, which the store answers at once. */
 	| {readonly kind: 'read-failed'; readonly begunMs: number}
 	/** The process was paused. */
 	| {readonly kind: 'resumed'}
--- a/src/runtime/routing/load-exchange.ts
+++ b/src/runtime/routing/load-exchange.ts
@@ -94,7 +94,7 @@
 				onObserved(report.observed);
 				onLeavingTargets(report.leaving.map(({target, bornMs}) => ({target, bornMs: Number(bornMs)})));
 				onFreshness({
-					storeAgeMs: report.storeAgeMs, versions: new Map(report.tables.map(({table, version}) => [table, Number(version)])),
+					storeAgeMs: report.storeAgeMs, outageAgeMs: report.outageAgeMs, versions: new Map(report.tables.map(({table, version}) => [table, Number(version)])),
 				});
 			}
 
@@ -136,9 +136,10 @@
 		loads.expire(clock.nowMs(), plan.validMs, plan.isFullMesh ? undefined : addresses.length);
 		const reportContents = buildContents(plan.isFullMesh);
 		if (addresses.length > 0) {
-			const {versions, storeAgeMs} = freshness();
+			const {versions, storeAgeMs, outageAgeMs} = freshness();
 			const report = create(LoadReportSchema, {
 				storeAgeMs: Math.round(storeAgeMs),
+				...(outageAgeMs !== undefined && {outageAgeMs: Math.round(outageAgeMs)}),
 				leaving: leavingTargets().map(({target, bornMs}) => ({target, bornMs: BigInt(bornMs)})),
 				tables: [...versions].map(([table, version]) => ({table, version: BigInt(version)})),
 				incarnation, sequence: ++sequence, ...reportContents,
--- a/src/runtime/store/store-session.ts
+++ b/src/runtime/store/store-session.ts
@@ -35,6 +35,8 @@
 	readonly begunMs: number;
 	/** Milliseconds for which the call was to wait for changes. */
 	readonly waitMs?: number;
+	/** Whether a watcher made the call. */
+	readonly isWatched?: boolean;
 };
 
 export type StoreSessionOptions = {
@@ -78,7 +80,7 @@
 
 export const createStoreSession = ({store, clock, log, random, vms, onLost, onRegained, stopped}: StoreSessionOptions): StoreSession => {
 	const watchers = new Map<string, {readonly watcher: TableWatcher; readonly handle: (message: WatchMessage) => void}>();
-	const contact = new StoreContact(clock.nowMs());
+	const contact = new StoreContact(vms, clock.nowMs());
 	const pauseDetector = createPauseDetector(clock.nowMs());
 	/** Time at which this VM learned of the store's present era. */
 	let restoredMs = -Infinity;
@@ -165,21 +167,23 @@
 	};
 
 	/** Records a call that the store did not serve. */
-	const recordFailure = ({call, failure, begunMs, waitMs}: FailedCall): void => {
+	const recordFailure = ({
+		call, failure, begunMs, waitMs, isWatched = false,
+	}: FailedCall): void => {
 		if (failure.kind === 'unavailable' && !stopped.aborted) {
 			const nowMs = clock.nowMs();
 			log.warn('store call failed', {
 				call, reason: failure.reason, wait_ms: waitMs, took_ms: Math.round(nowMs - begunMs), response_age_ms: Math.round(nowMs - contact.lastResponseMs),
 			});
-			handleContact({kind: waitMs === undefined ? 'read-failed' : 'wait-failed', begunMs});
+			handleContact({kind: isWatched ? 'watch-failed' : 'read-failed', begunMs});
 		}
 	};
 
-	const readAll = async (table: string, watched?: string): Promise<WholeTable | undefined> => {
+	const readAll = async (table: string): Promise<WholeTable | undefined> => {
 		const begunMs = clock.nowMs();
 		const read = await readTable(store, table);
 		if (read.kind === 'table') {
-			handleContact({kind: 'answered'}, watched);
+			handleContact({kind: 'answered'});
 			return read;
 		}
 
@@ -225,17 +229,23 @@
 		};
 
 		const readWholeTable = async (call: number): Promise<void> => {
-			const all = await readAll(table, table);
+			const begunMs = clock.nowMs();
+			const read = await readTable(store, table);
 			if (!watcher.isPending(call)) {
 				return;
 			}
 
-			if (all) {
-				onAll(all.rows, all.atVersion);
-				recordTableRead(table, all);
+			if (read.kind === 'table') {
+				handleContact({kind: 'answered'}, table);
+				onAll(read.rows, read.atVersion);
+				recordTableRead(table, read);
+				handle({kind: 'read', call, version: read.atVersion});
+			} else {
+				recordFailure({
+					call: table, failure: read, begunMs, isWatched: true,
+				});
+				handle({kind: 'failed', call});
 			}
-
-			handle(all ? {kind: 'read', call, version: all.atVersion} : {kind: 'failed', call});
 		};
 
 		const waitForChanges = async ({call, afterVersion, waitMs}: Extract<WatchEffect, {kind: 'wait'}>): Promise<void> => {
@@ -260,7 +270,7 @@
 				handle({kind: 'history-lost', call});
 			} else {
 				recordFailure({
-					call: table, failure: read, begunMs, waitMs,
+					call: table, failure: read, begunMs, waitMs, isWatched: true,
 				});
 				handle({kind: 'failed', call});
 			}
@@ -323,9 +333,21 @@
 		},
 		isCurrent: () => clock.nowMs() >= currentByMs || [...watchers.values()].every(({watcher}) => watcher.isCurrent),
 		responseAgeMs: () => clock.nowMs() - contact.lastResponseMs,
-		freshness: () => ({versions: new Map([...watchers].map(([table, {watcher}]) => [table, watcher.lastChangeVersion])), storeAgeMs: clock.nowMs() - contact.lastResponseToAnyVmMs}),
-		onFreshness({versions, storeAgeMs}) {
-			handleContact({kind: 'answered-elsewhere', atMs: clock.nowMs() - storeAgeMs});
+		freshness() {
+			const nowMs = clock.nowMs();
+			const outageSinceMs = contact.outageSinceMs(nowMs);
+			return {
+				versions: new Map([...watchers].map(([table, {watcher}]) => [table, watcher.lastChangeVersion])),
+				storeAgeMs: nowMs - contact.lastResponseToAnyVmMs,
+				outageAgeMs: outageSinceMs === undefined ? undefined : nowMs - outageSinceMs,
+			};
+		},
+		onFreshness({versions, storeAgeMs, outageAgeMs}) {
+			const nowMs = clock.nowMs();
+			handleContact({kind: 'answered-elsewhere', atMs: nowMs - storeAgeMs});
+			if (outageAgeMs !== undefined) {
+				handleContact({kind: 'outage-elsewhere', sinceMs: nowMs - outageAgeMs});
+			}
 
 			for (const [table, version] of versions) {
 				watchers.get(table)?.handle({kind: 'heard', version});
--- a/test/platform/fleet-source.test.ts
+++ b/test/platform/fleet-source.test.ts
@@ -65,7 +65,7 @@
 	await until(t, () => updates.some(({kind}) => kind === 'all-targets'), 'targets read');
 	const startMs = performance.now();
 	const timer = setInterval(() => {
-		source.onFreshness({versions: new Map(), storeAgeMs: storeAgeMs + performance.now() - startMs});
+		source.onFreshness({versions: new Map(), storeAgeMs: storeAgeMs + performance.now() - startMs, outageAgeMs: undefined});
 	}, 50);
 	await delay(300);
 	store.drop('servers', 'leaves');
--- a/test/store-watch/_outage-model.ts
+++ b/test/store-watch/_outage-model.ts
@@ -1,5 +1,5 @@
 /**
- * Simulates a small fleet that watches two tables of a store, with outages of the store, connections
+ * Simulates a fleet that watches two tables of a store, with outages of the store, connections
  * that go silent, a store that does not serve some of the VMs, paused VMs, and lost reports between
  * VMs. Runs in virtual time without I/O and is reproducible from a seed.
  */
@@ -13,15 +13,10 @@
 
 const STEP_MS = 10;
 const END_MS = 30_000;
-const MAX_VMS = 12;
 /** Milliseconds that a call may take beyond its wait, as in the client of the store. */
 const TIMEOUT_MS = 1000;
-const REPORT_INTERVAL_MS = 200;
 /** Milliseconds of the store's response, and of a report. */
 const MAX_DELAY_MS = 20;
-/** Milliseconds after a disturbance from which a VM must keep the bound, and the bound: milliseconds from an acknowledged change until it is in force. */
-const CONTACT_MS = 3000;
-const BOUND_MS = 2000;
 /** Pause after a change of the targets, as a share of the bound. */
 const TARGETS_PAUSE_SHARE = 0.45;
 const OUTAGE_CHANCE = 0.0008;
@@ -31,6 +26,18 @@
 const CHANGE_CHANCE = 0.01;
 const LOST_REPORT_SHARE = 0.2;
 
+export type Fleet = {
+	readonly leastVms: number;
+	readonly mostVms: number;
+	/** Milliseconds after a disturbance from which a VM must keep the bound. */
+	readonly contactMs: number;
+	/** Milliseconds from an acknowledged change until it must be in force. */
+	readonly boundMs: number;
+	/** Milliseconds between two reports of a VM, and how many other VMs get each; 0: no reports. */
+	readonly reportIntervalMs: number;
+	readonly peersPerReport: number;
+};
+
 const TABLES = ['op', 'servers'] as const;
 type Table = typeof TABLES[number];
 
@@ -45,6 +52,7 @@
 	isLost: boolean;
 };
 
+type Report = {readonly age: number; readonly outageSinceMs: number | undefined; readonly versions: ReadonlyArray<readonly [Table, number]>};
 type Timer = {readonly atMs: number; readonly run: () => void};
 
 export type OutageRun = {
@@ -53,11 +61,12 @@
 	readonly departureLateMs: number;
 };
 
-/** @param canGossip - Whether VMs exchange reports. */
-export const runOutageModel = (seed: number, {canGossip = true}: {readonly canGossip?: boolean} = {}): OutageRun => {
+export const runOutageModel = (seed: number, {
+	leastVms, mostVms, contactMs, boundMs, reportIntervalMs, peersPerReport,
+}: Fleet): OutageRun => {
 	const random = createRandom(seed);
 	const chance = (p: number): boolean => random.uniform() < p;
-	const size = 1 + Math.floor(random.uniform() * MAX_VMS);
+	const size = leastVms + Math.floor(random.uniform() * (mostVms - leastVms + 1));
 	let nowMs = 0;
 	let version = 1;
 	let outageUntilMs = -1;
@@ -65,10 +74,10 @@
 	const lastOf = (table: Table): number => changes[table].at(-1)?.version ?? 0;
 
 	const startVm = () => {
-		const contact = new StoreContact(nowMs);
+		const contact = new StoreContact(() => size, nowMs);
 		const missing = new MissingEntries(() => contact.entriesCompleteMs);
 		const watchers = new Map(TABLES.map(table => [table, new TableWatcher({
-			pauseMs: table === 'op' ? 0 : BOUND_MS * TARGETS_PAUSE_SHARE, vms: () => size, random: () => random.uniform(),
+			pauseMs: table === 'op' ? 0 : boundMs * TARGETS_PAUSE_SHARE, vms: () => size, random: () => random.uniform(),
 		})]));
 		const left = new Set<number>();
 		let calls: Call[] = [];
@@ -176,7 +185,7 @@
 				answer(call);
 			} else if (nowMs >= call.dueMs + TIMEOUT_MS) {
 				calls = calls.filter(other => other !== call);
-				handleContact({kind: effect?.kind === 'wait' ? 'wait-failed' : 'read-failed', begunMs: call.begunMs});
+				handleContact({kind: table === 'probe' ? 'read-failed' : 'watch-failed', begunMs: call.begunMs});
 				if (table !== 'probe' && effect) {
 					handleWatcher(table, {kind: 'failed', call: effect.call});
 				}
@@ -188,10 +197,14 @@
 		}
 
 		return {
-			freshness: () => ({age: nowMs - contact.lastResponseToAnyVmMs, versions: TABLES.map(table => [table, watchers.get(table)!.lastChangeVersion] as const)}),
-			onReport(age: number, versions: ReadonlyArray<readonly [Table, number]>): void {
+			freshness: () => ({age: nowMs - contact.lastResponseToAnyVmMs, outageSinceMs: contact.outageSinceMs(nowMs), versions: TABLES.map(table => [table, watchers.get(table)!.lastChangeVersion] as const)}),
+			onReport({age, outageSinceMs, versions}: Report): void {
 				if (nowMs >= pausedUntilMs) {
 					handleContact({kind: 'answered-elsewhere', atMs: nowMs - age});
+					if (outageSinceMs !== undefined) {
+						handleContact({kind: 'outage-elsewhere', sinceMs: outageSinceMs});
+					}
+
 					for (const [table, reported] of versions) {
 						handleWatcher(table, {kind: 'heard', version: reported});
 					}
@@ -246,7 +259,7 @@
 			lateMs(table: Table): number {
 				const known = watchers.get(table)!.knownUpToVersion ?? 0;
 				const open = changes[table].find(change => table === 'op' ? change.version > known : !left.has(change.version));
-				return open ? nowMs - Math.max(open.atMs + BOUND_MS, disturbedMs + CONTACT_MS) : 0;
+				return open ? nowMs - Math.max(open.atMs + boundMs, disturbedMs + contactMs) : 0;
 			},
 		};
 	};
@@ -277,12 +290,13 @@
 	const reports: Array<{readonly atMs: number; readonly run: () => void}> = [];
 	const sendReports = (): void => {
 		for (const vm of vms.filter(sender => !sender.isPaused())) {
-			const {age, versions} = vm.freshness();
-			for (const other of vms.filter(receiver => receiver !== vm && !chance(LOST_REPORT_SHARE))) {
+			const report = vm.freshness();
+			const others = peersPerReport >= size ? vms : Array.from({length: peersPerReport}, () => anyVm());
+			for (const other of others.filter(receiver => receiver !== vm && !chance(LOST_REPORT_SHARE))) {
 				reports.push({
 					atMs: nowMs + (random.uniform() * MAX_DELAY_MS),
 					run() {
-						other.onReport(age, versions);
+						other.onReport(report);
 					},
 				});
 			}
@@ -298,7 +312,7 @@
 			changes[chance(0.5) ? 'op' : 'servers'].push({version, atMs: nowMs});
 		}
 
-		if (canGossip && nowMs % REPORT_INTERVAL_MS === 0) {
+		if (peersPerReport > 0 && nowMs % reportIntervalMs === 0) {
 			sendReports();
 		}
 
--- a/test/store-watch/outages.test.ts
+++ b/test/store-watch/outages.test.ts
@@ -1,12 +1,25 @@
 import test from 'ava';
-import {runOutageModel} from './_outage-model.js';
+import {runOutageModel, type Fleet} from './_outage-model.js';
 
-const SEEDS = 300;
+type Case = {readonly title: string; readonly seeds: number; readonly fleet: Fleet};
 
-for (const canGossip of [true, false]) {
-	test(`configurations and departures are known in time around outages, silent connections, refusals and pauses, ${canGossip ? 'with' : 'without'} reports of other VMs`, t => {
-		for (let seed = 1; seed <= SEEDS; seed++) {
-			const {configLateMs, departureLateMs} = runOutageModel(seed, {canGossip});
+const smallFleet: Fleet = {
+	leastVms: 1, mostVms: 16, contactMs: 3000, boundMs: 2000, reportIntervalMs: 200, peersPerReport: 16,
+};
+const largeFleet: Fleet = {
+	leastVms: 17, mostVms: 76, contactMs: 4000, boundMs: 3000, reportIntervalMs: 400, peersPerReport: 8,
+};
+
+const cases: readonly Case[] = [
+	{title: 'in a small fleet', seeds: 300, fleet: smallFleet},
+	{title: 'in a small fleet without reports of other VMs', seeds: 300, fleet: {...smallFleet, peersPerReport: 0}},
+	{title: 'in a large fleet, most of whose calls wait long', seeds: 150, fleet: largeFleet},
+];
+
+for (const {title, seeds, fleet} of cases) {
+	test(`configurations and departures are known in time around outages, silent connections, refusals and pauses, ${title}`, t => {
+		for (let seed = 1; seed <= seeds; seed++) {
+			const {configLateMs, departureLateMs} = runOutageModel(seed, fleet);
 			t.true(configLateMs <= 0, `seed ${seed}: configuration ${configLateMs} ms late`);
 			t.true(departureLateMs <= 0, `seed ${seed}: departure ${departureLateMs} ms late`);
 		}
