--- a/src/core/store-watch/table-watcher.ts
+++ b/src/core/store-watch/table-watcher.ts
@@ -21,7 +21,7 @@
 import {type DropReason, type WatchEffect, type WatchMessage} from './types.js';
 
 /** Milliseconds that a call may take to return a change that another VM has already reported. */
-const REPORTED_CHANGE_GRACE_MS = 250;
+const REPORTED_CHANGE_GRACE_MS = 100;
 /** Least milliseconds between two calls that are cancelled because of other VMs' reports. */
 const MIN_CANCEL_INTERVAL_MS = 1000;
 /** Least milliseconds from the start of a call that failed to that of the next one, doubled with each further failure in a row up to the maximum. */
--- a/test/store-watch/outages.test.ts
+++ b/test/store-watch/outages.test.ts
@@ -13,7 +13,7 @@
 const cases: readonly Case[] = [
 	{title: 'in a small fleet', seeds: 300, fleet: smallFleet},
 	{title: 'in a small fleet without reports of other VMs', seeds: 300, fleet: {...smallFleet, peersPerReport: 0}},
-	{title: 'in a large fleet, most of whose calls wait long', seeds: 150, fleet: largeFleet},
+	{title: 'in a large fleet, most of whose calls wait long', seeds: 240, fleet: largeFleet},
 ];
 
 for (const {title, seeds, fleet} of cases) {
