--- a/src/runtime/store/store-session.ts
+++ b/src/runtime/store/store-session.ts
@@ -5,18 +5,16 @@
  * not end such a call.
  */
 import {setTimeout as delay} from 'node:timers/promises';
-import {type Clock} from '../../core/clock.js';
 import {createPauseDetector, PAUSE_MS} from '../../core/pause-detector.js';
 import {formatVersion} from '../../core/store-watch/store-version.js';
 import {StoreContact} from '../../core/store-watch/store-contact.js';
 import {TableWatcher} from '../../core/store-watch/table-watcher.js';
 import {
-	type ContactMessage, type StoreFreshness, type WatchEffect, type WatchMessage,
+	type ContactMessage, type WatchEffect, type WatchMessage,
 } from '../../core/store-watch/types.js';
-import {type Log} from '../observe/log.js';
 import {readTable} from './read-table.js';
 import {
-	type Store, type StoreFailure, type WatchedTable, type WholeTable,
+	type StoreFailure, type StoreSession, type StoreSessionOptions, type WatchedTable, type WholeTable,
 } from './types.js';
 
 /** Milliseconds after a pause of the process within which the store has to return what changed; after that, the VM continues with its last known state. */
@@ -39,45 +37,7 @@
 	readonly isWatched?: boolean;
 };
 
-export type StoreSessionOptions = {
-	readonly store: Store;
-	readonly clock: Clock;
-	readonly log: Log;
-	/** Returns random numbers that are uniform in [0, 1). */
-	readonly random: () => number;
-	/** Returns the number of VMs in the fleet, as known now. */
-	readonly vms: () => number;
-	readonly onLost: () => void;
-	readonly onRegained: () => void;
-	/** Ends all calls' effects. */
-	readonly stopped: AbortSignal;
-};
-
-export type StoreSession = {
-	readonly watch: (table: WatchedTable) => void;
-	/** Begins to notice pauses of the process. */
-	readonly start: () => void;
-	/** Reads a whole table; undefined if the store did not serve the read. */
-	readonly readAll: (table: string) => Promise<WholeTable | undefined>;
-	/** Reads a table beside its watcher, until the read is as recent as what the watcher knows; undefined once the session has stopped. */
-	readonly readBesideWatcher: (table: string) => Promise<WholeTable | undefined>;
-	/** Returns the time from which a missing entry means that its writer has left; infinite while the store does not serve this VM. */
-	readonly entriesCompleteMs: () => number;
-	/** Reads all watched tables again after the store has come back from an older copy. */
-	readonly onRestored: () => void;
-	/** Returns the watched tables, each with the version up to which it is known. */
-	readonly knownVersions: () => ReadonlyMap<string, number>;
-	/** Called after a pause of the process. */
-	readonly onResumed: () => void;
-	/** Whether the tables are current. False after a pause of the process, until they have been read again or the time limit for that has passed. */
-	readonly isCurrent: () => boolean;
-	/** Returns the milliseconds since the store last responded to this VM. */
-	readonly responseAgeMs: () => number;
-	readonly freshness: () => StoreFreshness;
-	/** Handles the freshness that another VM reported. */
-	readonly onFreshness: (freshness: StoreFreshness) => void;
-};
-
+/** Creates a session; it makes its first call when a table is watched or read. */
 export const createStoreSession = ({store, clock, log, random, vms, onLost, onRegained, stopped}: StoreSessionOptions): StoreSession => {
 	const watchers = new Map<string, {readonly watcher: TableWatcher; readonly handle: (message: WatchMessage) => void}>();
 	const contact = new StoreContact(vms, clock.nowMs());
--- a/src/runtime/store/types.ts
+++ b/src/runtime/store/types.ts
@@ -1,4 +1,7 @@
-/** Port to a store of versioned rows in tables. All versions are qualified by the store's era (`store-version.ts`). */
+/** Port to a store of versioned rows in tables, and the session of a VM with it. All versions are qualified by the store's era (`store-version.ts`). */
+import {type Clock} from '../../core/clock.js';
+import {type StoreFreshness} from '../../core/store-watch/types.js';
+import {type Log} from '../observe/log.js';
 
 /** A row, or the removal of a row. */
 export type StoreRow = {
@@ -45,3 +48,42 @@
 	readonly onAll: (rows: readonly StoreRow[], atVersion: number) => void;
 	readonly onChanges: (rows: readonly StoreRow[]) => void;
 };
+
+export type StoreSessionOptions = {
+	readonly store: Store;
+	readonly clock: Clock;
+	readonly log: Log;
+	/** Returns random numbers that are uniform in [0, 1). */
+	readonly random: () => number;
+	/** Returns the number of VMs in the fleet, as known now. */
+	readonly vms: () => number;
+	readonly onLost: () => void;
+	readonly onRegained: () => void;
+	/** Ends all calls' effects. */
+	readonly stopped: AbortSignal;
+};
+
+export type StoreSession = {
+	readonly watch: (table: WatchedTable) => void;
+	/** Begins to notice pauses of the process. */
+	readonly start: () => void;
+	/** Reads a whole table; undefined if the store did not serve the read. */
+	readonly readAll: (table: string) => Promise<WholeTable | undefined>;
+	/** Reads a table beside its watcher, until the read is as recent as what the watcher knows; undefined once the session has stopped. */
+	readonly readBesideWatcher: (table: string) => Promise<WholeTable | undefined>;
+	/** Returns the time from which a missing entry means that its writer has left; infinite while the store does not serve this VM. */
+	readonly entriesCompleteMs: () => number;
+	/** Reads all watched tables again after the store has come back from an older copy. */
+	readonly onRestored: () => void;
+	/** Returns the watched tables, each with the version up to which it is known. */
+	readonly knownVersions: () => ReadonlyMap<string, number>;
+	/** Called after a pause of the process. */
+	readonly onResumed: () => void;
+	/** Whether the tables are current. False after a pause of the process, until they have been read again or the time limit for that has passed. */
+	readonly isCurrent: () => boolean;
+	/** Returns the milliseconds since the store last responded to this VM. */
+	readonly responseAgeMs: () => number;
+	readonly freshness: () => StoreFreshness;
+	/** Handles the freshness that another VM reported. */
+	readonly onFreshness: (freshness: StoreFreshness) => void;
+};
