--- a/src/runtime/store/store-session.ts
+++ b/src/runtime/store/store-session.ts
@@ -4,7 +4,6 @@
  * change that affects only what a feed leaves out, such as the sequence number of a heartbeat, does
  * not end such a call.
  */
-import {setTimeout as delay} from 'node:timers/promises';
 import {createPauseDetector, PAUSE_MS} from '../../core/pause-detector.js';
 import {formatVersion} from '../../core/store-watch/store-version.js';
 import {StoreContact} from '../../core/store-watch/store-contact.js';
@@ -12,6 +11,7 @@
 import {
 	type ContactMessage, type WatchEffect, type WatchMessage,
 } from '../../core/store-watch/types.js';
+import {createPause} from './pause.js';
 import {readTable} from './read-table.js';
 import {
 	type StoreFailure, type StoreSession, type StoreSessionOptions, type WatchedTable, type WholeTable,
@@ -47,10 +47,7 @@
 	/** Tables that have not been read in the store's present era. */
 	const tablesOfOldEra = new Set<string>();
 
-	/** Waits for the given time, or until the session stops. */
-	const pause = async (ms: number): Promise<void> => {
-		await delay(ms, undefined, {signal: stopped}).catch(() => undefined);
-	};
+	const pause = createPause(stopped);
 
 	/** Time after a pause of the process from which the known state counts as current even without a response of the store. */
 	let currentByMs = -Infinity;
--- a/src/runtime/store/vm-rows.ts
+++ b/src/runtime/store/vm-rows.ts
@@ -1,8 +1,8 @@
 /** Writes this VM's row in the store and reads the rows of all VMs, by which the VMs of a fleet find each other. */
-import {setTimeout as delay} from 'node:timers/promises';
 import * as z from 'zod';
 import {type Clock} from '../../core/clock.js';
 import {type Log} from '../observe/log.js';
+import {createPause} from './pause.js';
 import {type Store, type StoreRow, type WholeTable} from './types.js';
 
 const VMS_TABLE = 'vms';
@@ -70,9 +70,7 @@
 	/** Cached list of the running VMs, since it is needed for each request. */
 	let recentVmsCache: {readonly names: readonly string[]; readonly exchanges: readonly string[]; readonly untilMs: number} | undefined;
 
-	const pause = async (ms: number): Promise<void> => {
-		await delay(ms, undefined, {signal: stopped}).catch(() => undefined);
-	};
+	const pause = createPause(stopped);
 
 	/**
 	 * Records the VMs' rows.
