--- a/standins/works/works-store.ts
+++ b/standins/works/works-store.ts
@@ -41,6 +41,8 @@
 	readonly delayRows: (ms: number) => void;
 	/** Leaves all connections that are open now without a response, for good; new ones are served. */
 	readonly silenceConnections: () => void;
+	/** The same for the open connections on which no call is under way. */
+	readonly silenceIdleConnections: () => void;
 	/** Keeps a copy of the present state, to which `restore` goes back. */
 	readonly keepCopy: () => void;
 	/**
@@ -67,6 +69,8 @@
 	let copy: {readonly rows: ReadonlyMap<string, Row>; readonly version: number} = {rows: new Map(), version: 0};
 	const connections = new Set<Socket>();
 	const silentConnections = new WeakSet<Socket>();
+	/** Connections on which a call is under way. */
+	const busyConnections = new WeakSet<Socket>();
 	/** Sends a response; in the mode `silent` and on a silent connection it is lost, and so are all that follow on this connection. */
 	const send = (res: ServerResponse, status: number, body: unknown): void => {
 		if (mode === 'silent' && res.socket) {
@@ -193,6 +197,10 @@
 	const app = polka({server})
 		.use((req, res, next) => {
 			calls++;
+			busyConnections.add(req.socket);
+			res.once('finish', () => {
+				busyConnections.delete(req.socket);
+			});
 			if (mode === 'silent') {
 				silentConnections.add(req.socket);
 			} else if (mode === 'unavailable' || toReject > 0) {
@@ -249,6 +257,13 @@
 				silentConnections.add(socket);
 			}
 		},
+		silenceIdleConnections() {
+			for (const socket of connections) {
+				if (!busyConnections.has(socket)) {
+					silentConnections.add(socket);
+				}
+			}
+		},
 		keepCopy() {
 			copy = {rows: new Map(rows), version};
 		},
--- a/test/platform/store-outages.test.ts
+++ b/test/platform/store-outages.test.ts
@@ -114,6 +114,18 @@
 	t.true(ms <= CONTACT_MS - 160, `${ms} ms`);
 });
 
+test('a target that leaves is dropped in time although the idle connections went silent just before, in the pause after another change', async t => {
+	const ms = await longest(t, async ({store, measure}) => {
+		store.put('servers', 'other', entryOf());
+		await measure(update => update.kind === 'target' && update.target.id === 'other', 'other target read');
+		store.silenceIdleConnections();
+		await delay(160);
+		store.drop('servers', 'leaves');
+		return measure(isGone, 'target gone');
+	});
+	t.true(ms <= CONTACT_MS - 160, `${ms} ms`);
+});
+
 test('reads from an outage that fail after it do not make the store count as lost again', async t => {
 	const store = await startWorksStore();
 	const source = sourceOf(store);
--- a/test/store-watch/_outage-model.ts
+++ b/test/store-watch/_outage-model.ts
@@ -1,6 +1,6 @@
 /**
  * Simulates a fleet that watches two tables of a store, with outages of the store, connections
- * that go silent, a store that does not serve some of the VMs, paused VMs, and lost reports between
+ * that go silent with a call or while idle, a store that does not serve some of the VMs, paused VMs, and lost reports between
  * VMs. Runs in virtual time without I/O and is reproducible from a seed.
  */
 import {MissingEntries} from '../../src/core/store-watch/missing-entries.js';
@@ -15,12 +15,17 @@
 const END_MS = 30_000;
 /** Milliseconds that a call may take beyond its wait, as in the client of the store. */
 const TIMEOUT_MS = 1000;
+/** Milliseconds for which an idle connection is kept, as in the client of the store. */
+const IDLE_CONNECTION_MS = 100;
 /** Milliseconds of the store's response, and of a report. */
 const MAX_DELAY_MS = 20;
 /** Pause after a change of the targets, as a share of the bound. */
 const TARGETS_PAUSE_SHARE = 0.45;
 const OUTAGE_CHANCE = 0.0008;
 const SILENCE_CHANCE = 0.0004;
+const IDLE_SILENCE_CHANCE = 0.0008;
+/** Share of the calls after an idle silence that use one of the silent connections. */
+const SILENT_IDLE_SHARE = 0.7;
 const UNSERVED_CHANCE = 0.0008;
 const PAUSE_CHANCE = 0.0008;
 const CHANGE_CHANCE = 0.01;
@@ -84,6 +89,8 @@
 		let timers: Timer[] = [];
 		let unservedUntilMs = -1;
 		let pausedUntilMs = -1;
+		/** Time until which an idle connection that has gone silent may be used; a failed call replaces it before. */
+		let silentIdleUntilMs = -1;
 		let disturbedMs = -Infinity;
 
 		const at = (atMs: number, run: () => void): void => {
@@ -93,7 +100,7 @@
 		const isServed = (): boolean => nowMs >= outageUntilMs && nowMs >= unservedUntilMs;
 		const begin = (table: Call['table'], effect: Call['effect']): void => {
 			calls.push({
-				table, effect, begunMs: nowMs, dueMs: nowMs + (random.uniform() * MAX_DELAY_MS) + (effect?.kind === 'wait' ? effect.waitMs : 0), isLost: false,
+				table, effect, begunMs: nowMs, dueMs: nowMs + (random.uniform() * MAX_DELAY_MS) + (effect?.kind === 'wait' ? effect.waitMs : 0), isLost: nowMs <= silentIdleUntilMs && chance(SILENT_IDLE_SHARE),
 			});
 		};
 
@@ -104,6 +111,7 @@
 						handleWatcher(table, {kind: 'tick'});
 					});
 				} else if (effect.kind === 'drop') {
+					silentIdleUntilMs = -1;
 					calls = calls.filter(call => call.table !== table || call.effect?.call !== effect.call);
 				} else {
 					begin(table, effect);
@@ -185,6 +193,7 @@
 				answer(call);
 			} else if (nowMs >= call.dueMs + TIMEOUT_MS) {
 				calls = calls.filter(other => other !== call);
+				silentIdleUntilMs = -1;
 				handleContact({kind: table === 'probe' ? 'read-failed' : 'watch-failed', begunMs: call.begunMs});
 				if (table !== 'probe' && effect) {
 					handleWatcher(table, {kind: 'failed', call: effect.call});
@@ -226,6 +235,10 @@
 					call.isLost = true;
 				}
 			},
+			/** Connections without a call give no further response. */
+			silenceIdle(): void {
+				silentIdleUntilMs = nowMs + IDLE_CONNECTION_MS;
+			},
 			step(): void {
 				if (nowMs < pausedUntilMs || !isServed()) {
 					disturbedMs = nowMs;
@@ -278,6 +291,13 @@
 			}
 		}
 
+		if (chance(IDLE_SILENCE_CHANCE)) {
+			for (const vm of vms) {
+				vm.silenceIdle();
+				vm.disturb();
+			}
+		}
+
 		if (chance(UNSERVED_CHANCE)) {
 			anyVm().refuseUntil(nowMs + (random.uniform() * 5000));
 		}
