Read all connections again before a request is sent in a long turn of the event loop

Cause: the event loop reads its connections once a turn. In a turn that takes half a second, of a flooded VM with a third of a processor, requests that are read last are sent in the same turn, and their callers' disconnects, which have arrived meanwhile, are read in the next one. The class: a decision on input that is older than the decision's bound.

Change: InputAge notes the first input of a turn. A request whose input is older than 200 ms right before its first byte is dispatched again after all connections were read, at most twice; the check of the caller follows. The same in the product's own entry. jackdawwood_stale_input_seconds counts it.

--- a/src/runtime/entry/attempt-context.ts
+++ b/src/runtime/entry/attempt-context.ts
@@ -1,6 +1,7 @@
 import {type CostEstimator} from '../../core/admission/cost-estimator.js';
 import {type TeamLimiter} from '../../core/admission/team-limiter.js';
 import {type RetryBudget} from '../../core/attempt/retry-budget.js';
+import {type InputAge} from '../observe/input-age.js';
 import {type CreateCalls} from './running-call.js';
 import {type TargetPools} from './target-pools.js';
 import {type EntryContext} from './types.js';
@@ -11,6 +12,7 @@
 	readonly teamLimiter: TeamLimiter;
 	readonly retryBudget: RetryBudget;
 	readonly estimator: CostEstimator;
+	readonly inputAge: InputAge;
 	/** Creates calls in another protocol. If absent, calls use the product's own protocol. */
 	readonly createCalls?: CreateCalls;
 };
--- a/src/runtime/entry/attempt-task.ts
+++ b/src/runtime/entry/attempt-task.ts
@@ -25,7 +25,7 @@
 const isInQueue = ({kind}: AttemptState): boolean => kind === 'claiming' || kind === 'queued';
 
 /** Creates calls in the product's own protocol. */
-const ownProtocolCalls = ({pools, metrics, stallMs}: AttemptContext): CreateCalls => (job, response) => {
+const ownProtocolCalls = ({pools, metrics, inputAge, stallMs}: AttemptContext): CreateCalls => (job, response) => {
 	/** Addresses to which this request was sent. A late duplicate of a response would carry the id of this request, so another call to the same address uses a fresh connection. */
 	const calledAddresses = new Set<string>();
 	return options => {
@@ -33,7 +33,7 @@
 		const isRetry = calledAddresses.has(address);
 		calledAddresses.add(address);
 		return new TargetCall({
-			...options, job, response, metrics, pool: () => isRetry ? pools.fresh(address) : pools.get(address), ...(stallMs !== undefined && {stallMs}),
+			...options, job, response, metrics, inputAge, pool: () => isRetry ? pools.fresh(address) : pools.get(address), ...(stallMs !== undefined && {stallMs}),
 		});
 	};
 };
--- a/src/runtime/entry/cancel-run.ts
+++ b/src/runtime/entry/cancel-run.ts
@@ -18,7 +18,7 @@
 
 const attemptCancel = async (pool: TargetDispatcher, requestId: string): Promise<CancelResult> => new Promise(resolve => {
 	let status = 0;
-	const call = callTarget(pool(), cancelRequest(requestId), {
+	const call = callTarget(pool, cancelRequest(requestId), {
 		onWriting: () => true,
 		onHeaders(received) {
 			status = received;
--- a/src/runtime/entry/start-entry.ts
+++ b/src/runtime/entry/start-entry.ts
@@ -11,6 +11,7 @@
 import {
 	BadRequest, HeadersTooLarge, ReadTimeout, UnknownRoute,
 } from '../../core/errors/refusals-data.js';
+import {createInputAge} from '../observe/input-age.js';
 import {type AttemptContext} from './attempt-context.js';
 import {handleRequest, refuseEarly, type ReadJob} from './handle-request.js';
 import {readCompletion, readPlainCall} from './read-job.js';
@@ -95,8 +96,11 @@
 
 /** Starts the interface. Rejects when its address cannot be bound. */
 export const startEntry = async (options: EntryOptions): Promise<Entry> => {
+	const inputAge = createInputAge(options.clock, ageMs => {
+		options.metrics.staleInput.observe(ageMs / 1000);
+	});
 	const ctx: AttemptContext = {
-		...options, pools: createTargetPools(isTargetIn(options)), teamLimiter: createTeamLimiter(), retryBudget: createRetryBudget(), estimator: createCostEstimator(),
+		...options, pools: createTargetPools(isTargetIn(options)), teamLimiter: createTeamLimiter(), retryBudget: createRetryBudget(), estimator: createCostEstimator(), inputAge,
 	};
 	const server = createServer(options);
 	const serving = new Set<Promise<void>>();
@@ -119,6 +123,8 @@
 	server.on('clientError', (err, socket) => {
 		onClientError(err, socket, options);
 	});
+	server.on('connection', inputAge.noteInput);
+	server.on('request', inputAge.noteInput);
 	addRoutes(server, ctx, track);
 
 	return {
--- a/src/runtime/entry/target-call.ts
+++ b/src/runtime/entry/target-call.ts
@@ -4,6 +4,7 @@
 import {initialResume, planResume} from '../../core/attempt/resume.js';
 import {type AttemptMessage, type FaultReason} from '../../core/attempt/types.js';
 import {type Grant} from '../../core/dispatch/types.js';
+import {type InputAge} from '../observe/input-age.js';
 import {type Metrics} from '../observe/metrics.js';
 import {type ResponseReader, type ReaderContext} from './response-reader.js';
 import {callTarget, type Call, type CallListener} from './call-target.js';
@@ -26,6 +27,7 @@
 	readonly stallMs?: number;
 	readonly response: CallerResponse;
 	readonly metrics: Metrics;
+	readonly inputAge: InputAge;
 	/** Returns whether the attempt permits the first byte to be written. */
 	readonly mayWrite: () => boolean;
 	/** Notifies the attempt of the call's events. At most one message ends the call. */
@@ -160,7 +162,7 @@
 
 	#connect(request: TargetRequest, listener: CallListener): void {
 		this.#restartStallTimer();
-		this.#call = callTarget(this.#options.pool(), request, listener, {idHeader: 'x-request-id'});
+		this.#call = callTarget(this.#options.pool, request, listener, {idHeader: 'x-request-id', inputAge: this.#options.inputAge});
 	}
 
 	#listener(onHeaders: CallListener['onHeaders']): CallListener {
--- a/src/runtime/observe/metrics.ts
+++ b/src/runtime/observe/metrics.ts
@@ -87,6 +87,9 @@
 			name: 'jackdawwood_store_call_seconds', help: 'Calls to the store, with the time that they wait for changes.', labelNames: ['call', 'result'] as const,
 			buckets: DURATION_BUCKETS_S, registers,
 		}),
+		staleInput: new Histogram({
+			name: 'jackdawwood_stale_input_seconds', help: 'Age of the input when a request waited for a further read before it was sent to a target.', buckets: DURATION_BUCKETS_S, registers,
+		}),
 		loopDelay: new Histogram({
 			name: 'jackdawwood_loop_delay_seconds', help: 'How late a timer of the process fires: how far it is behind its work.', buckets: DURATION_BUCKETS_S, registers,
 		}),
--- a/src/runtime/routing/load-exchange.ts
+++ b/src/runtime/routing/load-exchange.ts
@@ -69,6 +69,8 @@
 	/** Returns what this VM knows of ended target processes and condemned prompt parts. */
 	readonly quarantine?: () => QuarantineReport;
 	readonly onQuarantine?: (from: string, report: QuarantineReport) => void;
+	/** Called when a datagram has arrived, before it is processed. */
+	readonly onDatagram?: () => void;
 	/** Called when a datagram could not be processed, or not be encoded or sent. */
 	readonly onFault?: (direction: 'in' | 'out') => void;
 };
@@ -86,7 +88,7 @@
 /** Starts to listen for datagrams and to send reports. */
 export const startLoadExchange = async ({
 	vm, incarnation, listen, clock, log, loads, peers, peerOf, onUnknownVm, onPeerMessage, targets, teams, takeSentPrompts, onSentPrompts, takeObserved, onObserved,
-	freshness, onFreshness, leavingTargets, onLeavingTargets, rollouts, onRollouts, quarantine, onQuarantine, onFault = () => undefined,
+	freshness, onFreshness, leavingTargets, onLeavingTargets, rollouts, onRollouts, quarantine, onQuarantine, onDatagram, onFault = () => undefined,
 }: LoadExchangeOptions): Promise<LoadExchange> => {
 	const socket = createSocket('udp4');
 	let sequence = 0;
@@ -98,6 +100,7 @@
 	};
 
 	socket.on('message', bytes => {
+		onDatagram?.();
 		try {
 			const datagram = fromBinary(PeerDatagramSchema, bytes);
 			if (datagram.vm === vm) {
--- a/src/runtime/routing/relay-call.ts
+++ b/src/runtime/routing/relay-call.ts
@@ -16,6 +16,7 @@
 import {type Job} from '../entry/job.js';
 import {type CallOptions, type CreateCalls, type RunningCall} from '../entry/running-call.js';
 import {createStallTimer, type StallTimer} from '../entry/stall-timer.js';
+import {type InputAge} from '../observe/input-age.js';
 import {type Log} from '../observe/log.js';
 import {SILENCE_TIMEOUT_FACTOR} from '../../core/placement/prompt-loss.js';
 import {createEventRelay, type EventRelay} from './event-relay.js';
@@ -57,6 +58,7 @@
 	readonly observe: (grant: CallOptions['grant'], observation: Observation) => void;
 	readonly lossWatch: LossWatch;
 	readonly promptWatch: PromptWatch;
+	readonly inputAge: InputAge;
 	/** Called with the number of bytes read from targets. */
 	readonly onRead?: (bytes: number) => void;
 };
@@ -132,7 +134,7 @@
 	}
 
 	start(): void {
-		const {wire, pool, freshPool, recentSends, grant, clock, mayWrite, promptWatch} = this.#options;
+		const {wire, pool, freshPool, recentSends, grant, clock, mayWrite, promptWatch, inputAge} = this.#options;
 		const {job, events, hasBegun} = this.#progress;
 		this.#bornMs = promptWatch.bornMs(grant.target);
 		events.startResponse();
@@ -144,7 +146,7 @@
 			copyPromptFrom: grant.copyPromptFrom,
 		});
 		const isResend = recentSends.record(job.requestId, grant.address);
-		this.#call = callTarget(isResend ? freshPool(grant.address) : pool(grant.address), request, {
+		this.#call = callTarget(() => isResend ? freshPool(grant.address) : pool(grant.address), request, {
 			onWriting: () => {
 				const mayStart = this.#open && mayWrite();
 				if (mayStart) {
@@ -165,7 +167,7 @@
 			onError: err => {
 				this.#onError(err);
 			},
-		}, {idHeader: wire.idHeader});
+		}, {idHeader: wire.idHeader, inputAge});
 	}
 
 	drop(): void {
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -20,6 +20,7 @@
 import {createTargetPools} from '../entry/target-pools.js';
 import {type Log} from '../observe/log.js';
 import {cpuMs, idleMs, startLoopDelay} from '../observe/loop-delay.js';
+import {createInputAge} from '../observe/input-age.js';
 import {createIngressReport} from '../observe/ingress-report.js';
 import {createMemoryAccounts, type MemoryAccounts} from '../memory/memory-accounts.js';
 import {createYoungCollector} from '../memory/young-collector.js';
@@ -153,7 +154,15 @@
 	} = options;
 	const view = createFleetView(log);
 	const loads = new FleetLoads();
-	const onRead = createYoungCollector();
+	const inputAge = createInputAge(clock, ageMs => {
+		metrics.staleInput.observe(ageMs / 1000);
+	});
+	const collectYoung = createYoungCollector();
+	const onRead = (bytes: number): void => {
+		inputAge.noteInput();
+		collectYoung(bytes);
+	};
+
 	const memoryAccounts = createMemoryAccounts({
 		bounds: memoryBounds(limits.memoryMb), clock, log, metrics, onRead,
 	});
@@ -229,6 +238,7 @@
 		freshness: source.freshness, onFreshness: source.onFreshness,
 		leavingTargets: scheduler.leavingTargets, onLeavingTargets: scheduler.onLeavingTargets,
 		quarantine: quarantine.report, onQuarantine: quarantine.onReport,
+		onDatagram: inputAge.noteInput,
 		onFault(direction) {
 			metrics.exchangeFaults.inc({direction});
 		},
@@ -260,9 +270,10 @@
 		teamLimiter: createTeamLimiter(),
 		retryBudget: createRetryShare(bounds, () => vms().length),
 		estimator: createCostEstimator(),
+		inputAge,
 		createCalls: createRelayCalls({
 			wire: targetWire, pool: address => pools.get(address), freshPool: pools.fresh, recentSends: createRecentSends(), clock, log, observe: scheduler.observe, onRead,
-			lossWatch: scheduler.lossWatch, promptWatch: quarantine,
+			lossWatch: scheduler.lossWatch, promptWatch: quarantine, inputAge,
 		}),
 	};
 	const ctx: ServeContext = {
@@ -279,7 +290,9 @@
 	};
 
 	for (const server of servers) {
+		server.on('connection', inputAge.noteInput);
 		server.on('request', (req, res) => {
+			inputAge.noteInput();
 			void serve(req, res);
 		});
 	}
--- a/test/routing/relay-loss-detection.test.ts
+++ b/test/routing/relay-loss-detection.test.ts
@@ -6,6 +6,7 @@
 import {type PromptLoss, type LossCriteria} from '../../src/core/placement/prompt-loss.js';
 import {type CallerResponse} from '../../src/runtime/entry/caller-response.js';
 import {type Job} from '../../src/runtime/entry/job.js';
+import {createInputAge} from '../../src/runtime/observe/input-age.js';
 import {silentLog} from '../../src/runtime/observe/log.js';
 import {createRecentSends} from '../../src/core/attempt/recent-sends.js';
 import {createRelayCalls} from '../../src/runtime/routing/relay-call.js';
@@ -49,10 +50,11 @@
 	const grant: Grant = {
 		grantId: 'g1', target: 't1', address: target.address, epoch: 0n, instance: 't1', expiresAtMs: Infinity,
 	};
+	const clock = {nowMs: () => performance.now()};
 	const pool = () => agent.compose(dispatch => (options, handler) => dispatch({...options, origin: `http://${target.address}`}, handler));
 	const call = createRelayCalls({
 		wire: targetWire, pool, freshPool: pool, recentSends: createRecentSends(),
-		clock: {nowMs: () => performance.now()}, log: silentLog, observe: ignore,
+		clock, inputAge: createInputAge(clock), log: silentLog, observe: ignore,
 		lossWatch: {
 			noteWritten: ignore,
 			noteActivity: ignore,
