Refuse requests late in a planned stop that could not end before the process does

Cause: nothing in a request's way knows when the process ends. Connections that were opened before and have sent nothing, or whose body arrives late, are not idle, so the stop does not close them. The class: the end of the process is no deadline to what it takes on.

While the balancer may still send new callers, all requests are served. After that a request that has to end later than the process is refused at once as not run (VmLeaving, Retry-After 0.1 s, connection closed): on arrival, when its body is complete, while it is queued and right before its first byte. What was sent before has until the end, and so have its repeats and continuations.

--- a/src/core/attempt/attempt.ts
+++ b/src/core/attempt/attempt.ts
@@ -8,7 +8,7 @@
 import {type GrantResult} from '../dispatch/types.js';
 import {RefusalError} from '../errors/refusal-error.js';
 import {
-	AnswerBroken, OutcomeUnknown, RunTimeout, TargetUnavailable, type RefusalData,
+	AnswerBroken, OutcomeUnknown, RunTimeout, TargetUnavailable, VmLeaving, type RefusalData,
 } from '../errors/refusals-data.js';
 import {
 	type AttemptEffect, type AttemptMessage, type AttemptOutcome, type AttemptSpec, type AttemptState, type AttemptStep, type RetryReason,
@@ -29,6 +29,9 @@
 /** Retry delay in milliseconds that is returned to the caller when targets keep rejecting the request. */
 const RETRY_AFTER_MS = 1000;
 
+/** Retry delay in milliseconds that is returned to the caller when this VM stops: other VMs serve the request at once. */
+const LEAVING_RETRY_AFTER_MS = 100;
+
 export const initialAttempt: AttemptState = {
 	kind: 'claiming', delivering: false, callerDisconnected: false, mayHaveRun: false, retries: 0, sends: 0, earlyBreaks: 0, hasErrorResponse: false,
 };
@@ -257,6 +260,18 @@
 	return refuse(state, refusal, before);
 };
 
+/** Refuses a request that was not sent to a target. One that was sent has until the end of the process. */
+const onVmLeaving = (state: AttemptState, nowMs: number): AttemptStep => {
+	if ((state.kind !== 'queued' && state.kind !== 'granted') || state.sends > 0) {
+		return withoutEffects(state);
+	}
+
+	const refusal = new RefusalError(VmLeaving, {}, {retryAfterMs: LEAVING_RETRY_AFTER_MS});
+	return state.kind === 'queued'
+		? refuse(state, refusal, [{kind: 'withdraw'}])
+		: refuse(state, refusal, [{kind: 'drop-call'}, ...endGrant(state, nowMs, unsentResult)]);
+};
+
 const onCallerDisconnected = (state: AttemptState, nowMs: number): AttemptStep => {
 	const disconnected = {...state, callerDisconnected: true};
 	switch (state.kind) {
@@ -299,6 +314,10 @@
 			return onBegin(state, spec);
 		}
 
+		case 'vm-leaving': {
+			return onVmLeaving(state, nowMs);
+		}
+
 		case 'claimed': {
 			return enqueue(state);
 		}
--- a/src/core/attempt/types.ts
+++ b/src/core/attempt/types.ts
@@ -57,6 +57,8 @@
 
 export type AttemptMessage =
 	| {readonly kind: 'begin'}
+	/** This VM stops before the request has to end. */
+	| {readonly kind: 'vm-leaving'}
 	| {readonly kind: 'claimed'}
 	| {readonly kind: 'claim-refused'; readonly refusal: RefusalError}
 	| {readonly kind: 'granted'; readonly grant: Grant}
--- a/src/core/errors/refusals-data.ts
+++ b/src/core/errors/refusals-data.ts
@@ -105,6 +105,16 @@
 	retryable: true,
 } as const satisfies RefusalData;
 
+export const VmLeaving = {
+	name: 'VmLeaving',
+	title: 'This VM is being stopped.',
+	message: () => 'The request might not end before this VM stops, so it was not started.',
+	hint: 'Come back after the time in Retry-After, on a new connection, which reaches another VM.',
+	status: 503,
+	notRun: true,
+	retryable: true,
+} as const satisfies RefusalData;
+
 export const VmOutOfMemory = {
 	name: 'VmOutOfMemory',
 	title: 'This VM holds too much for slow callers and targets.',
--- a/src/runtime/entry/attempt-context.ts
+++ b/src/runtime/entry/attempt-context.ts
@@ -1,5 +1,6 @@
 import {type CostEstimator} from '../../core/admission/cost-estimator.js';
 import {type TeamLimiter} from '../../core/admission/team-limiter.js';
+import {type Departure} from '../../core/attempt/departure.js';
 import {type RetryBudget} from '../../core/attempt/retry-budget.js';
 import {type InputAge} from '../observe/input-age.js';
 import {type CreateCalls} from './running-call.js';
@@ -13,6 +14,8 @@
 	readonly retryBudget: RetryBudget;
 	readonly estimator: CostEstimator;
 	readonly inputAge: InputAge;
+	/** The planned stop of this VM; absent if the end of its process is unknown. */
+	readonly departure?: Departure;
 	/** Creates calls in another protocol. If absent, calls use the product's own protocol. */
 	readonly createCalls?: CreateCalls;
 };
--- a/src/runtime/entry/attempt-task.ts
+++ b/src/runtime/entry/attempt-task.ts
@@ -46,6 +46,7 @@
 	#call: RunningCall | undefined;
 	#claim: Promise<Claim> | undefined;
 	#lastTarget: string | undefined;
+	#removeDepartureListener: (() => void) | undefined;
 	/** Milliseconds from the request's arrival to the first chunk of the response. */
 	#firstChunkMs: number | undefined;
 	readonly #attemptedTargets: string[] = [];
@@ -74,7 +75,11 @@
 			this.#startRunTimer(route.endByMs - clock.nowMs());
 		}
 
+		this.#removeDepartureListener = this.#ctx.departure?.onNoticeEnd(() => {
+			this.#refuseIfLeaving();
+		});
 		this.#notify({kind: 'begin'});
+		this.#refuseIfLeaving();
 		this.#response.onDrain(() => {
 			this.#call?.resume();
 		});
@@ -83,6 +88,14 @@
 		});
 	}
 
+	/** Refuses the request, unless it was sent before, if this VM stops before the request has to end. */
+	#refuseIfLeaving(): void {
+		const {route} = this.#job;
+		if (route && this.#ctx.departure?.maySend(Math.min(route.endByMs, route.callerWaitsUntilMs)) === false) {
+			this.#notify({kind: 'vm-leaving'});
+		}
+	}
+
 	/** Passes a message to the state machine. An exception ends this request alone, and never permits a first byte. */
 	#notify(message: AttemptMessage): readonly AttemptEffect[] {
 		try {
@@ -269,6 +282,7 @@
 			this.#notify({kind: 'caller-left'});
 		}
 
+		this.#refuseIfLeaving();
 		return this.#notify({kind: 'writing', valid}).some(({kind}) => kind === 'write');
 	}
 
@@ -316,6 +330,7 @@
 		const seconds = (clock.nowMs() - arrivedMs) / 1000;
 		clearTimeout(this.#submitTimer);
 		clearTimeout(this.#runTimer);
+		this.#removeDepartureListener?.();
 		void this.#settleClaim({kind: 'ended', outcome, ran});
 		metrics.requests.inc({service, outcome});
 		metrics.responseTime.observe({service}, seconds);
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -4,6 +4,7 @@
 import polka from 'polka';
 import {createCostEstimator} from '../../core/admission/cost-estimator.js';
 import {createAdmissionControl} from '../../core/admission/admission-control.js';
+import {createDeparture} from '../../core/attempt/departure.js';
 import {createRecentSends} from '../../core/attempt/recent-sends.js';
 import {createLoadShedder} from '../../core/admission/load-shedder.js';
 import {createRefusalSummary} from '../../core/admission/refusal-summary.js';
@@ -154,6 +155,7 @@
 	} = options;
 	const view = createFleetView(log);
 	const loads = new FleetLoads();
+	const departure = createDeparture();
 	const inputAge = createInputAge(clock, ageMs => {
 		metrics.staleInput.observe(ageMs / 1000);
 	});
@@ -271,6 +273,7 @@
 		retryBudget: createRetryShare(bounds, () => vms().length),
 		estimator: createCostEstimator(),
 		inputAge,
+		departure,
 		createCalls: createRelayCalls({
 			wire: targetWire, pool: address => pools.get(address), freshPool: pools.fresh, recentSends: createRecentSends(), clock, log, observe: scheduler.observe, onRead,
 			lossWatch: scheduler.lossWatch, promptWatch: quarantine, inputAge,
@@ -344,7 +347,9 @@
 		}
 
 		const endByMs = clock.nowMs() + bounds.graceMs - END_MARGIN_MS;
+		departure.begin(endByMs);
 		await delay(Math.min(LEAVE_NOTICE_MS, bounds.graceMs / 2));
+		departure.endNotice();
 		await Promise.race([Promise.all(serverStops.map(async serverStop => serverStop.stop())), delay(Math.max(0, endByMs - clock.nowMs()))]);
 		ingressReport.flush(clock.nowMs());
 		log.info('stopped');
--- a/test/attempt/routed.test.ts
+++ b/test/attempt/routed.test.ts
@@ -52,6 +52,15 @@
 	t.true(run(messages, spec()).kinds.includes('refuse AnswerBroken'));
 });
 
+test('when this VM stops too early for a request, it is refused as not run unless it was sent to a target', t => {
+	const leaving: AttemptMessage = {kind: 'vm-leaving'};
+	t.deepEqual(run([{kind: 'begin'}, leaving], spec()).kinds, ['ask', 'withdraw', 'refuse VmLeaving', 'ended']);
+	t.deepEqual(run([{kind: 'begin'}, {kind: 'granted', grant}, leaving], spec()).kinds, ['ask', 'call', 'drop-call', 'end-grant', 'refuse VmLeaving', 'ended']);
+	t.is(run([...first, leaving], spec()).state.kind, 'sent');
+	t.is(run([...first, broken, leaving], spec()).state.kind, 'queued', 'it may have run and is repeated');
+	t.true(run([...first, {kind: 'declined', reason: 'overloaded'}, leaving], spec()).kinds.includes('refuse VmLeaving'));
+});
+
 test('an error response of a target is delivered when no other attempt is allowed', t => {
 	const messages: readonly AttemptMessage[] = [...first, {kind: 'error-answer'}];
 	t.is(run(messages, spec()).state.kind, 'queued');
