Let teams far ahead of one that waits yield to those that yield too

Cause, from a replay that logs each team's usage and the usage beyond which it yields (0.7 million): the first team had 1.4 million, after a wave of its own, the other 8.5 million. Both yielded, and all that yield had the same limits. The one reached 3 VMs, the other 58 and asked for more, so it had far more chances: 580 starts a second against 14 to 25. The class: a limit that tells only on which side of a line a team is.

Change: a third step of precedence. A team beyond its share whose usage is over 1.25 times that of a team that waits at another VM, and two requests more, is far ahead; its requests start only where the others leave much room. The owner of an engine learns it with the reservation request (is_far_ahead, false from older VMs).

Ruled out: a team's VM being slow, since its requests were declined by the owners of engines; requests refused by processor time, 68 of some 190. Tried and dropped: holding such teams back altogether. It leaves 1 to 4 spans below half in the virtual fleet, of the team that is held.

--- a/src/core/placement/messages.ts
+++ b/src/core/placement/messages.ts
@@ -43,16 +43,20 @@
 /** `no-target`: no target is left that the request can be sent to. `too-late`: the request was not started in time. `no-turn`: the request would not be dispatched before its caller gives up. */
 export type PlacementRejection = 'no-target' | 'too-late' | 'no-turn';
 
+/** Usage of a request's team through all VMs, as known here, and the usage beyond which its requests yield, for the log. */
+export type TeamFigures = {readonly team: string; readonly usage: number; readonly shareUsage: number};
+
 export type PlacementEffect =
 	/** A message that is sent to another VM without delay and that may be lost. */
 	| ({readonly kind: 'tell-peer'} & OutgoingMessage)
-	| {readonly kind: 'grant'; readonly request: PlacementRequest; readonly grantId: string; readonly target: TargetRecord; readonly details: PlacementDetails; readonly queue?: QueueSnapshot}
+	| {readonly kind: 'grant'; readonly request: PlacementRequest; readonly grantId: string; readonly target: TargetRecord; readonly details: PlacementDetails; readonly teamFigures: TeamFigures; readonly queue?: QueueSnapshot}
 	| {
 		readonly kind: 'reject';
 		readonly request: PlacementRequest;
 		readonly reason: PlacementRejection;
 		readonly retryAfterMs: number;
 		readonly givesWay: boolean;
+		readonly teamFigures: TeamFigures;
 		/** State of the queue when the request entered it. */
 		readonly queue?: QueueSnapshot;
 		readonly unavailable?: UnavailableTargets;
@@ -77,4 +81,6 @@
 	readonly copyFrom: TargetRecord | undefined;
 	/** Whether the request yielded to others: its team was beyond its share, it was late, or more urgent requests had to wait. */
 	readonly givesWay: boolean;
+	/** Whether its team was so far ahead of one that waits that it yielded to those that yield too. */
+	readonly isFarAhead: boolean;
 };
--- a/src/core/placement/reservations.ts
+++ b/src/core/placement/reservations.ts
@@ -12,6 +12,7 @@
 } from './target-ledger.js';
 import {createTargetOwners, type TargetOwners} from './target-owners.js';
 import {type PlacementRequest} from './types.js';
+import {type Precedence} from './start-limits.js';
 
 /** Longest time for which an owner's reply is awaited, as a share of the latency target. */
 const MAX_REPLY_TIMEOUT_SHARE = 0.2;
@@ -74,7 +75,7 @@
 	| {readonly kind: 'unowned'};
 
 /** The last request that a target's owner declined. Until `untilMs`, the owner is assumed to decline all requests that need as much or more. */
-type Decline = {readonly untilMs: number; readonly newTokens: number; readonly givesWay: boolean};
+type Decline = {readonly untilMs: number; readonly newTokens: number} & Precedence;
 
 /** Reply of the owner that declined a request last, for the log. */
 export type LastDecline = Omit<ReservationAnswer, 'isGranted'> & {readonly newTokens: number};
@@ -117,9 +118,9 @@
 	}
 
 	/** Whether a target recently declined a request that needs as much as this one or less. */
-	hasDeclined(target: string, {newTokens, givesWay}: {readonly newTokens: number; readonly givesWay: boolean}, nowMs: number): boolean {
+	hasDeclined(target: string, {newTokens, givesWay, isFarAhead}: Precedence & {readonly newTokens: number}, nowMs: number): boolean {
 		const decline = this.#declines.get(target);
-		return decline !== undefined && nowMs < decline.untilMs && newTokens >= decline.newTokens && (givesWay || !decline.givesWay);
+		return decline !== undefined && nowMs < decline.untilMs && newTokens >= decline.newTokens && (givesWay || !decline.givesWay) && (isFarAhead || !decline.isFarAhead);
 	}
 
 	/** Whether a request is still in the pause after a decline. */
@@ -286,7 +287,7 @@
 	#reservationOf(id: string, request: PlacementRequest & {readonly prompt: NonNullable<PlacementRequest['prompt']>}, {target, keys, copiedTokens, figures}: Candidate, nowMs: number): Reservation {
 		const {prompt, targetLatencyMs, arrivedMs, isResumed} = request;
 		return {
-			id, target: target.record.id, prompt, keys, copiedTokens, targetLatencyMs, waitedMs: nowMs - arrivedMs, givesWay: figures.givesWay, isResumed,
+			id, target: target.record.id, prompt, keys, copiedTokens, targetLatencyMs, waitedMs: nowMs - arrivedMs, givesWay: figures.givesWay, isFarAhead: figures.isFarAhead, isResumed,
 		};
 	}
 
@@ -331,7 +332,9 @@
 			return {kind: 'granted', candidate: withOwnerFigures(candidate, answer)};
 		}
 
-		this.#declines.set(target.record.id, {untilMs: nowMs + answer.retryAfterMs, newTokens, givesWay: candidate.figures.givesWay});
+		this.#declines.set(target.record.id, {
+			untilMs: nowMs + answer.retryAfterMs, newTokens, givesWay: candidate.figures.givesWay, isFarAhead: candidate.figures.isFarAhead,
+		});
 		const pauseMs = Math.min(MAX_PAUSE_MS, Math.max(MIN_PAUSE_MS, request.targetLatencyMs * PAUSE_SHARE));
 		this.#requestDeclines.set(request.requestId, {notBeforeMs: nowMs + pauseMs, last: {...answer, newTokens}});
 		return {kind: 'declined'};
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -11,7 +11,7 @@
 import {coldLimit} from './cold-limit.js';
 import {planExchange} from './exchange-plan.js';
 import {
-	type LeavingTarget, type ObservedLoad, type PlacementEffect, type PlacementMessage,
+	type LeavingTarget, type ObservedLoad, type PlacementEffect, type PlacementMessage, type TeamFigures,
 } from './messages.js';
 import {createLateAttempts} from './late-attempts.js';
 import {KnownTargets} from './known-targets.js';
@@ -32,6 +32,7 @@
 import {TeamShares} from './team-shares.js';
 import {type FleetBounds, type PlacementRequest} from './types.js';
 import {plainInTimeShare, reservedInTimeShare} from './waiting-times.js';
+import {type Precedence} from './start-limits.js';
 
 /** Bounds in milliseconds of the Retry-After that is computed from the prefill backlog. It is used in small fleets, and in large ones while the drain rate of a queue is unknown. */
 const MIN_RETRY_AFTER_MS = 300;
@@ -214,13 +215,13 @@
 
 		if (!hasTargetLeft(request, ctx)) {
 			return [{
-				kind: 'reject', request, reason: 'no-target', retryAfterMs: shortestBackOffMs(request, ctx) ?? NO_TARGET_RETRY_AFTER_MS, givesWay: false,
+				kind: 'reject', request, reason: 'no-target', retryAfterMs: shortestBackOffMs(request, ctx) ?? NO_TARGET_RETRY_AFTER_MS, givesWay: false, teamFigures: this.#teamFigures(request, nowMs),
 			}];
 		}
 
 		const tier = this.#queue.tierOf(request, nowMs);
 		if (this.#queue.isEmptyUpTo(tier) && !this.#queue.isTooLate(request, nowMs) && this.#shares.usageOf(request.team, nowMs) <= this.#usageCeiling(nowMs)) {
-			const effects = this.#tryStart(request, this.#givesWay(request, tier, nowMs), ctx);
+			const effects = this.#tryStart(request, this.#precedence(request, tier, nowMs), ctx);
 			if (effects) {
 				return effects;
 			}
@@ -230,14 +231,22 @@
 		return refused ? [this.#reject(refused, ctx)] : [];
 	}
 
-	#givesWay(request: PlacementRequest, tier: Tier, nowMs: number): boolean {
-		return this.#queue.givesWay(request, tier, nowMs) || this.#shares.isBeyondShare(request.team, nowMs);
+	/**
+	 * Returns the precedence of a request. If all teams beyond their shares yielded alike, the one that
+	 * reaches most VMs and asks for most would get most of the capacity.
+	 */
+	#precedence(request: PlacementRequest, tier: Tier, nowMs: number): Precedence {
+		const isBeyondShare = this.#shares.isBeyondShare(request.team, nowMs);
+		return {
+			givesWay: isBeyondShare || this.#queue.givesWay(request, tier, nowMs),
+			isFarAhead: isBeyondShare && this.#usesReservations() && this.#shares.isFarAhead(request.team, nowMs),
+		};
 	}
 
 	/** Starts a request or sends a reservation request for it; undefined when no target accepts it now. */
-	#tryStart(request: PlacementRequest, givesWay: boolean, ctx: ChoiceContext): readonly PlacementEffect[] | undefined {
+	#tryStart(request: PlacementRequest, precedence: Precedence, ctx: ChoiceContext): readonly PlacementEffect[] | undefined {
 		while (!this.#reservations.isPaused(request, ctx.nowMs)) {
-			const candidate = chooseTarget(request, givesWay, ctx);
+			const candidate = chooseTarget(request, precedence, ctx);
 			if (!candidate) {
 				return undefined;
 			}
@@ -317,7 +326,7 @@
 		const {nowMs} = ctx;
 		const tier = this.#queue.tierOf(request, nowMs);
 		const mayStart = (tier === 'in-time' || this.#queue.isEmptyUpTo(tier)) && !this.#queue.isTooLate(request, nowMs);
-		const effects = mayStart ? this.#tryStart(request, this.#givesWay(request, tier, nowMs), ctx) : undefined;
+		const effects = mayStart ? this.#tryStart(request, this.#precedence(request, tier, nowMs), ctx) : undefined;
 		if (!effects) {
 			this.#queue.add(request, nowMs);
 		}
@@ -382,7 +391,7 @@
 	 * Returns the usage beyond which a team waits for teams that are queued at other VMs. Where
 	 * reservations are used, this is infinite: in a large fleet, some team always waits at some
 	 * VM for one particular engine, and holding back all others for it would leave the other
-	 * engines idle. In such a fleet, a team beyond its fair share yields to other teams anyway.
+	 * engines idle. In such a fleet, a team beyond its fair share yields to other teams instead.
 	 */
 	#usageCeiling(nowMs: number): number {
 		return this.#usesReservations() ? Infinity : this.#shares.usageCeiling(nowMs);
@@ -443,7 +452,7 @@
 					return false;
 				}
 
-				const started = this.#tryStart(request, this.#givesWay(request, tier, nowMs), ctx);
+				const started = this.#tryStart(request, this.#precedence(request, tier, nowMs), ctx);
 				effects.push(...started ?? []);
 				if (tier === 'late') {
 					lateAttempts.record(started !== undefined);
@@ -466,14 +475,19 @@
 			this.#sentPrompts.note(sent, prompt, newTokens);
 		}
 
+		const teamFigures = this.#teamFigures(request, nowMs);
 		this.#reservations.noteStarted(request);
 		this.#shares.noteStarted(request.team, costOf(request), nowMs);
 		const queue = this.#queue.noteStarted(request, nowMs);
 		return {
-			kind: 'grant', request, grantId, target: target.record, details: figures, ...(queue && {queue}),
+			kind: 'grant', request, grantId, target: target.record, details: figures, teamFigures, ...(queue && {queue}),
 		};
 	}
 
+	#teamFigures({team}: PlacementRequest, nowMs: number): TeamFigures {
+		return {team, usage: this.#shares.usageOf(team, nowMs), shareUsage: this.#shares.shareUsage(nowMs)};
+	}
+
 	#expire(nowMs: number): readonly PlacementEffect[] {
 		const rejected = this.#queue.expire(nowMs);
 		if (rejected.length === 0) {
@@ -492,15 +506,15 @@
 
 		const ids = this.#knownTargets.usable().map(({record}) => record.id);
 		return this.#queue.removeAll(({tried}) => ids.every(id => tried.includes(id))).map(({request, queue}) => ({
-			kind: 'reject', request, reason: 'no-target', retryAfterMs: NO_TARGET_RETRY_AFTER_MS, givesWay: false,
+			kind: 'reject', request, reason: 'no-target', retryAfterMs: NO_TARGET_RETRY_AFTER_MS, givesWay: false, teamFigures: this.#teamFigures(request, nowMs),
 			lastDecline: this.#reservations.takeLastDecline(request.requestId), ...(queue && {queue}),
 		}));
 	}
 
 	#reject({request, reason, queue}: QueueRejection, ctx: ChoiceContext): PlacementEffect {
-		const givesWay = this.#shares.isBeyondShare(request.team, ctx.nowMs);
+		const precedence = this.#precedence(request, queue?.tier ?? 'in-time', ctx.nowMs);
 		return {
-			kind: 'reject', request, reason, givesWay, retryAfterMs: this.#retryAfterMs(request, ctx.nowMs), unavailable: countUnavailable(request, givesWay, ctx),
+			kind: 'reject', request, reason, givesWay: precedence.givesWay, teamFigures: this.#teamFigures(request, ctx.nowMs), retryAfterMs: this.#retryAfterMs(request, ctx.nowMs), unavailable: countUnavailable(request, precedence, ctx),
 			lastDecline: this.#reservations.takeLastDecline(request.requestId), ...(queue && {queue}),
 		};
 	}
--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -12,7 +12,9 @@
 	assumedPrefixHolder, preferredTargets, findPrefixHolder, type PrefixHolder, type PrefixContext,
 } from './prefix-holder.js';
 import {prefixKeys} from './prefix-cache-estimate.js';
-import {hasCapacity, startsInTime, type TargetOccupancy} from './start-limits.js';
+import {
+	hasCapacity, startsInTime, type Precedence, type TargetOccupancy,
+} from './start-limits.js';
 import {slowedMs} from './target-speed.js';
 import {type PlacementRequest} from './types.js';
 
@@ -79,7 +81,7 @@
 	/** Whether prompts need a reservation from the owner of their target. */
 	readonly needsReservation: boolean;
 	/** Whether a target recently declined a request that needs as much or less. */
-	readonly hasDeclined: (target: TargetView, needs: {readonly newTokens: number; readonly givesWay: boolean}) => boolean;
+	readonly hasDeclined: (target: TargetView, needs: Precedence & {readonly newTokens: number}) => boolean;
 	/** Returns the leading tokens of a prompt that can be copied from its preferred target, as reported by the target's owner. */
 	readonly copyableTokensOf: (keys: readonly number[]) => number;
 	/** Whether a target may receive one more request now if it is cold; always true for a warm one. */
@@ -119,7 +121,7 @@
 	readonly holder: PrefixHolder | undefined;
 	/** Requests of other VMs at the target. */
 	readonly others: Load;
-	readonly givesWay: boolean;
+	readonly precedence: Precedence;
 };
 
 /** Returns the price in milliseconds of a request at a target beyond its predicted time to first token. */
@@ -132,7 +134,7 @@
 };
 
 const candidateAt = (target: TargetView, evaluation: Evaluation, ctx: ChoiceContext): Candidate => {
-	const {request, keys, sharedTokens, holder, others, givesWay} = evaluation;
+	const {request, keys, sharedTokens, holder, others, precedence} = evaluation;
 	const {prompt} = request;
 	const {service, prefixCaches, tokensPerMs, dataCentre, nowMs} = ctx;
 	const recordedTokens = prompt ? prefixCaches.keptTokens(target.record.id, prompt, keys, nowMs) : 0;
@@ -147,7 +149,7 @@
 	const pace = ctx.isSampled ? 1 : target.prefillPace.factor(nowMs);
 	const predictedMs = averageMs * pace;
 	const ownPrefillMs = slowedMs(newTokens / tokensPerMs, slowdown) * pace;
-	const terms = {givesWay, isExact: false};
+	const terms = {...precedence, isExact: false};
 	const waitedMs = nowMs - request.arrivedMs;
 	return {
 		target,
@@ -168,7 +170,7 @@
 			heartbeatAgeMs: nowMs - target.lastHeartbeatMs,
 			waitedMs,
 			copyFrom: source?.record,
-			givesWay,
+			...precedence,
 		},
 	};
 };
@@ -219,10 +221,10 @@
 };
 
 /** Counts the targets that do not accept a request by reason, for the log. */
-export const countUnavailable = (request: PlacementRequest, givesWay: boolean, ctx: ChoiceContext): UnavailableTargets => {
+export const countUnavailable = (request: PlacementRequest, precedence: Precedence, ctx: ChoiceContext): UnavailableTargets => {
 	const eligible = eligibleTargets(request, ctx);
 	const withColdCapacity = eligible.filter(target => ctx.hasColdCapacity(target));
-	const withCapacity = withColdCapacity.filter(target => hasCapacity(request, occupancyOf(target, othersAt(target, ctx)), {service: ctx.service, givesWay, isExact: false}));
+	const withCapacity = withColdCapacity.filter(target => hasCapacity(request, occupancyOf(target, othersAt(target, ctx)), {service: ctx.service, ...precedence, isExact: false}));
 	return {
 		targets: ctx.targets.length,
 		passedOver: ctx.targets.length - eligible.length,
@@ -261,14 +263,14 @@
  * cached, only the preferred targets are compared if one of them accepts requests. Requests
  * that arrive together then find the prefix there, and only those targets prefill it.
  */
-const shortlist = (request: PlacementRequest, keys: readonly number[], {givesWay, newTokens}: {readonly givesWay: boolean; readonly newTokens: number}, ctx: ChoiceContext): readonly TargetView[] => {
+const shortlist = (request: PlacementRequest, keys: readonly number[], {newTokens, ...precedence}: Precedence & {readonly newTokens: number}, ctx: ChoiceContext): readonly TargetView[] => {
 	const eligible = eligibleTargets(request, ctx);
 	if (!ctx.isSampled) {
 		return eligible;
 	}
 
 	const preferred = preferredTargets(keys, ctx).filter(target => eligible.includes(target));
-	const isOpen = (target: TargetView): boolean => ctx.hasColdCapacity(target) && !ctx.hasDeclined(target, {newTokens, givesWay});
+	const isOpen = (target: TargetView): boolean => ctx.hasColdCapacity(target) && !ctx.hasDeclined(target, {newTokens, ...precedence});
 	if (ctx.needsReservation && request.prompt && ctx.copyableTokensOf(keys) === 0 && preferred.some(target => isOpen(target))) {
 		return preferred;
 	}
@@ -276,26 +278,22 @@
 	return [...preferred, ...twoRandomTargets(eligible, ctx.random).filter(target => !preferred.includes(target))];
 };
 
-/**
- * Returns the target with the lowest price among those that can start the request now.
- *
- * @param givesWay - Whether the request yields to others: its team has received its share, or it is late or less urgent.
- */
-export const chooseTarget = (request: PlacementRequest, givesWay: boolean, ctx: ChoiceContext): Candidate | undefined => {
+/** Returns the target with the lowest price among those that can start the request now. */
+export const chooseTarget = (request: PlacementRequest, precedence: Precedence, ctx: ChoiceContext): Candidate | undefined => {
 	const keys = request.prompt ? prefixKeys(request.prompt) : [];
 	const sharedTokens = request.prompt?.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0) ?? 0;
 	const holder = ctx.isSampled ? assumedPrefixHolder(keys, ctx.needsReservation ? ctx.copyableTokensOf(keys) : sharedTokens, ctx) : request.prompt && findPrefixHolder(request.prompt, keys, ctx);
 	const isReserved = ctx.needsReservation && request.prompt !== undefined;
 	let best: Candidate | undefined;
-	for (const target of shortlist(request, keys, {givesWay, newTokens: request.prompt?.tokens ?? 0}, ctx)) {
+	for (const target of shortlist(request, keys, {...precedence, newTokens: request.prompt?.tokens ?? 0}, ctx)) {
 		if (!ctx.hasColdCapacity(target)) {
 			continue;
 		}
 
 		const candidate = candidateAt(target, {
-			request, keys, sharedTokens, holder, others: othersAt(target, ctx), givesWay,
+			request, keys, sharedTokens, holder, others: othersAt(target, ctx), precedence,
 		}, ctx);
-		const isOpen = isReserved ? !ctx.hasDeclined(target, {newTokens: candidate.newTokens, givesWay}) : candidate.canStartInTime;
+		const isOpen = isReserved ? !ctx.hasDeclined(target, {newTokens: candidate.newTokens, ...precedence}) : candidate.canStartInTime;
 		if (isOpen && (!best || candidate.price < best.price)) {
 			best = candidate;
 		}
--- a/src/core/placement/team-shares.ts
+++ b/src/core/placement/team-shares.ts
@@ -67,11 +67,21 @@
 
 	/** Whether the usage of a team exceeds its max-min fair share, so that its requests yield. */
 	isBeyondShare(team: string, nowMs: number): boolean {
+		return this.usageOf(team, nowMs) > this.shareUsage(nowMs);
+	}
+
+	/** Whether the usage of a team is so far above that of a team that waits at another VM that it yields to all others. */
+	isFarAhead(team: string, nowMs: number): boolean {
+		return this.usageOf(team, nowMs) > this.usageCeiling(nowMs);
+	}
+
+	/** Returns the usage beyond which the requests of a team yield. */
+	shareUsage(nowMs: number): number {
 		if (nowMs >= this.#share.untilMs) {
 			this.#share = {usage: this.#computeShare(nowMs), untilMs: nowMs + SHARE_VALID_MS};
 		}
 
-		return this.usageOf(team, nowMs) > this.#share.usage;
+		return this.#share.usage;
 	}
 
 	#computeShare(nowMs: number): number {
--- a/src/runtime/routing/placement-fields.ts
+++ b/src/runtime/routing/placement-fields.ts
@@ -1,5 +1,5 @@
 /** Builds the log fields that record the decision where to place a request, and the inputs of that decision. */
-import {type PlacementEffect} from '../../core/placement/messages.js';
+import {type PlacementEffect, type TeamFigures} from '../../core/placement/messages.js';
 import {type QueueSnapshot} from '../../core/placement/service-queue.js';
 
 type Reject = Extract<PlacementEffect, {kind: 'reject'}>;
@@ -22,11 +22,17 @@
 	...(queue.costPerMs !== undefined && {drain_per_s: Math.round(queue.costPerMs * 1000)}),
 };
 
+/** Returns the team's usage and the usage beyond which its requests yield; without the latter, no team has to. */
+const teamFields = ({team, usage, shareUsage}: TeamFigures) => ({
+	team, team_use: Math.round(usage), ...(Number.isFinite(shareUsage) && {share_use: Math.round(shareUsage)}),
+});
+
 export const rejectFields = (service: string, effect: Reject, nowMs: number) => ({
 	request_id: effect.request.requestId,
 	service,
 	reason: effect.reason,
 	gives_way: effect.givesWay,
+	...teamFields(effect.teamFigures),
 	...(effect.unavailable && {
 		targets: effect.unavailable.targets,
 		passed_over: effect.unavailable.passedOver,
@@ -41,7 +47,7 @@
 	waited_ms: Math.round(nowMs - effect.request.arrivedMs),
 });
 
-export const grantFields = (service: string, {request, target, details, queue}: Granted) => ({
+export const grantFields = (service: string, {request, target, details, teamFigures, queue}: Granted) => ({
 	request_id: request.requestId,
 	service,
 	target: target.id,
@@ -52,6 +58,8 @@
 	others: details.othersRunning,
 	cold: details.isCold,
 	gives_way: details.givesWay,
+	far_ahead: details.isFarAhead,
+	...teamFields(teamFigures),
 	...queueFields(queue),
 	heartbeat_age_ms: Math.round(details.heartbeatAgeMs),
 	waited_ms: Math.round(details.waitedMs),
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -391,7 +391,7 @@
 			deliverWhenCurrent();
 		} else {
 			applyEffects(service, undefined, [{
-				kind: 'reject', request: placementRequest, reason: 'no-target', retryAfterMs: DEFAULT_LATENCY_MS, givesWay: false,
+				kind: 'reject', request: placementRequest, reason: 'no-target', retryAfterMs: DEFAULT_LATENCY_MS, givesWay: false, teamFigures: {team: placementRequest.team, usage: 0, shareUsage: Infinity},
 			}]);
 		}
 
--- a/src/runtime/routing/reservation-messages.ts
+++ b/src/runtime/routing/reservation-messages.ts
@@ -7,8 +7,8 @@
 /** A message with the service that it concerns. */
 export type ServiceMessage = {readonly service: string; readonly message: PeerMessage};
 
-const encodeRequest = (service: string, {id, target, prompt, keys, copiedTokens, targetLatencyMs, waitedMs, givesWay, isResumed}: Reservation) => ({
-	id, service, target, keys: [...keys], givesWay, isResumed,
+const encodeRequest = (service: string, {id, target, prompt, keys, copiedTokens, targetLatencyMs, waitedMs, givesWay, isFarAhead, isResumed}: Reservation) => ({
+	id, service, target, keys: [...keys], givesWay, isFarAhead, isResumed,
 	partTokens: prompt.parts.slice(0, keys.length).map(({tokens}) => Math.round(tokens)),
 	promptTokens: Math.round(prompt.tokens),
 	outputTokens: Math.round(prompt.outputTokens),
@@ -17,8 +17,8 @@
 	waitedMs: Math.max(0, Math.round(waitedMs)),
 });
 
-const decodeRequest = ({id, target, keys, partTokens, promptTokens, outputTokens, copiedTokens, latencyTargetMs, waitedMs, givesWay, isResumed}: ReservationRequest): Reservation => ({
-	id, target, keys, copiedTokens, targetLatencyMs: latencyTargetMs, waitedMs, givesWay, isResumed,
+const decodeRequest = ({id, target, keys, partTokens, promptTokens, outputTokens, copiedTokens, latencyTargetMs, waitedMs, givesWay, isFarAhead, isResumed}: ReservationRequest): Reservation => ({
+	id, target, keys, copiedTokens, targetLatencyMs: latencyTargetMs, waitedMs, givesWay, isFarAhead, isResumed,
 	// The keys are hashes that identify the prompt parts, so the parts' ids are not sent.
 	prompt: {
 		model: '', parts: partTokens.map(tokens => ({id: '', tokens})), tokens: promptTokens, outputTokens,
--- a/test/placement/_fleet-model.ts
+++ b/test/placement/_fleet-model.ts
@@ -4,6 +4,7 @@
  * that prefill one prompt at a time and cache every prompt.
  */
 import {type Prompt} from '../../src/core/dispatch/types.js';
+import {FleetLoads} from '../../src/core/placement/fleet-loads.js';
 import {type PlacementEffect, type PlacementMessage} from '../../src/core/placement/messages.js';
 import {prefixKeys} from '../../src/core/placement/prefix-cache-estimate.js';
 import {type ServicePlacement} from '../../src/core/placement/service-placement.js';
@@ -23,6 +24,8 @@
 const REPORT_PERIOD_MS = 400;
 /** Number of VMs that each load report is sent to. */
 const REPORT_PEERS = 8;
+/** Milliseconds for which a load report is valid. */
+const REPORT_VALID_MS = 5000;
 const TICK_MS = 5;
 
 export type FleetLoad = {
@@ -40,6 +43,20 @@
 	readonly diesAtMs?: (vm: number) => number;
 	/** Returns the prompt of a request, from a random number in [0, 1) and the index of the request. */
 	readonly promptOf: (draw: number, index: number) => Prompt;
+	/** Returns the team of a request and the VM that it arrives at, from a random number in [0, 1). If absent, 20 teams take turns at random VMs, and VMs do not report their teams. */
+	readonly sourceOf?: (draw: number, index: number, nowMs: number) => {readonly team: string; readonly vm: number};
+	/** Tokens that all engines are configured to sustain per second. */
+	readonly tokensPerS?: number;
+};
+
+/** A request as its caller and its engine see it. */
+export type TeamRequest = {
+	readonly team: string;
+	/** Tokens of the prompt. */
+	readonly tokens: number;
+	readonly arrivedMs: number;
+	/** Time of the first token; undefined if the request got none. */
+	readonly firstTokenMs: number | undefined;
 };
 
 export type FleetFigures = {
@@ -59,6 +76,8 @@
 	readonly messages: number;
 	/** Share of the engines' time that was used for prefill. */
 	readonly utilization: number;
+	/** Requests with the times of their arrivals and of their starts, which are absent if they were refused, in the order of arrival. */
+	readonly requests: readonly TeamRequest[];
 };
 
 type Event = {readonly atMs: number; readonly act: (nowMs: number) => void};
@@ -72,7 +91,7 @@
 	waiting: number;
 };
 
-export const runFleet = ({seed, vms: size, engines: count, requestsPerS, durationMs, latencyTargetMs, promptOf, lagMs = () => 0, diesAtMs = () => Infinity, slowdownOf}: FleetLoad): FleetFigures => {
+export const runFleet = ({seed, vms: size, engines: count, requestsPerS, durationMs, latencyTargetMs, promptOf, lagMs = () => 0, diesAtMs = () => Infinity, slowdownOf, sourceOf, tokensPerS}: FleetLoad): FleetFigures => {
 	const random = createRandom(seed);
 	const lags = createRandom(seed + 1000);
 	const names = Array.from({length: size}, (_, index) => `vm-${index}`);
@@ -95,6 +114,8 @@
 	/** Number of requests for which each shared prefix is being prefilled now, by its key. */
 	const inPrefill = new Map<number, number>();
 	const vms: ServicePlacement[] = [];
+	const loadsOf = names.map(() => new FleetLoads());
+	const requests = new Map<string, {-readonly [Key in keyof TeamRequest]: TeamRequest[Key]}>();
 
 	const tokensToPrefill = (prompt: Prompt, engine: Engine, source: Engine | undefined): number => {
 		let {tokens} = prompt;
@@ -138,6 +159,11 @@
 				cachedAnywhere.add(key);
 			}
 
+			const record = requests.get(effect.request.requestId);
+			if (record) {
+				record.firstTokenMs = firstMs;
+			}
+
 			const isInTime = firstMs - effect.request.arrivedMs <= latencyTargetMs;
 			const lateFigure = effect.queue?.tier === 'late' ? 'servedLate' : 'late';
 			figures[isInTime ? 'inTime' : lateFigure]++;
@@ -180,9 +206,11 @@
 		}
 	}
 
-	for (const vm of names) {
+	for (const [index, vm] of names.entries()) {
 		const placement = createPlacement({
-			vm, vms: names, random: () => random.uniform(), service: {...modelService, coldPerS: 0, engine: {slots: 64, kvCapacityTokens: 465_000, canCopyPrompts: true}},
+			vm, vms: names, fleet: loadsOf[index]!, random: () => random.uniform(), service: {
+				...modelService, coldPerS: 0, tokensPerS, engine: {slots: 64, kvCapacityTokens: 465_000, canCopyPrompts: true},
+			},
 		});
 		for (const id of engines.keys()) {
 			placement.handle({kind: 'target', target: target(id)}, 0);
@@ -197,8 +225,16 @@
 				deliver(vm, {kind: 'tick'}, nowMs);
 				if ((nowMs + (vm * TICK_MS)) % REPORT_PERIOD_MS === 0) {
 					const loads = vms[vm]!.knownTargets.takeObservedLoads(nowMs);
+					const teams = vms[vm]!.teamLoads(nowMs);
+					loadsOf[vm]!.expire(nowMs, REPORT_VALID_MS, size - 1);
 					for (let peer = 0; peer < REPORT_PEERS; peer++) {
-						deliver(Math.floor(random.uniform() * size), {kind: 'observed-elsewhere', loads}, nowMs);
+						const to = Math.floor(random.uniform() * size);
+						deliver(to, {kind: 'observed-elsewhere', loads}, nowMs);
+						if (sourceOf && to !== vm) {
+							loadsOf[to]!.addReport({
+								vm: names[vm]!, incarnation: 'i', sequence: nowMs, targets: [], teams,
+							}, nowMs);
+						}
 					}
 				}
 			});
@@ -208,14 +244,19 @@
 	const gapMs = 1000 / requestsPerS;
 	for (let nowMs = 0, index = 0; nowMs < durationMs; nowMs += gapMs, index++) {
 		const prompt = promptOf(random.uniform(), index);
-		const vm = Math.floor(random.uniform() * size);
+		const draw = random.uniform();
+		const {team, vm} = sourceOf?.(draw, index, nowMs) ?? {team: `team-${index % 20}`, vm: Math.floor(draw * size)};
 		if (nowMs >= diesAtMs(vm)) {
 			continue;
 		}
 
 		schedule(nowMs, () => {
 			figures.submitted++;
-			deliver(vm, {kind: 'ask', request: createRequest(`team-${index % 20}`, nowMs, {prompt, targetLatencyMs: latencyTargetMs})}, nowMs);
+			const request = createRequest(team, nowMs, {prompt, targetLatencyMs: latencyTargetMs});
+			requests.set(request.requestId, {
+				team, tokens: prompt.tokens, arrivedMs: nowMs, firstTokenMs: undefined,
+			});
+			deliver(vm, {kind: 'ask', request}, nowMs);
 		});
 	}
 
@@ -228,5 +269,5 @@
 		events.delete(nowMs);
 	}
 
-	return {...figures, utilization: figures.prefilledTokens / PREFILL_TOKENS_PER_MS / (durationMs * count)};
+	return {...figures, requests: [...requests.values()], utilization: figures.prefilledTokens / PREFILL_TOKENS_PER_MS / (durationMs * count)};
 };
--- a/test/platform/planned-stop.test.ts
+++ b/test/platform/planned-stop.test.ts
@@ -85,6 +85,7 @@
 	t.deepEqual(late.map(caller => statusOf(caller)).filter(status => status !== '200' && status !== '503'), []);
 	t.deepEqual([...early, ...late].filter(caller => !isWhole(caller)).map(({response}) => response()), []);
 	const refused = late.filter(caller => statusOf(caller) === '503');
+	t.log(`${refused.length} of ${late.length} refused`);
 	t.true(refused.every(({response}) => /\r\nretry-after: 0/iv.test(response())));
 	// A refusal says that the request did not run.
 	t.is(target.arrivals().length, early.length + late.length - refused.length);
