--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -52,6 +52,8 @@
 	readonly random: () => number;
 	/** Whether the known state of the fleet is current; false after a pause of the process until the store has been read again. */
 	readonly isCurrent?: () => boolean;
+	/** Returns the milliseconds since the store's last response to this VM, for the log. */
+	readonly storeAgeMs?: () => number;
 	/** Whether this VM is overloaded and refuses a share of the requests. */
 	readonly isVmOverloaded: () => boolean;
 	/** Absent if the versions of targets are ignored. */
@@ -150,7 +152,7 @@
 };
 
 export const createPlacementScheduler = ({
-	vm, dataCentre, bounds, clock, view, vms, log, loads, random, isCurrent = () => true, isVmOverloaded, rollout, countOutcome, sendToPeer,
+	vm, dataCentre, bounds, clock, view, vms, log, loads, random, isCurrent = () => true, storeAgeMs, isVmOverloaded, rollout, countOutcome, sendToPeer,
 }: PlacementSchedulerOptions): PlacementScheduler => {
 	const groupsOf = new Map<string, ServiceVersionGroups>();
 	/** Version groups that receive no new requests but still have queued or running ones. */
@@ -194,6 +196,7 @@
 			const {target, grantId, details} = effect;
 			log.routine('request placed', {
 				...grantFields(service, effect), ...(rollout && {version: target.version}), vms_heard: loads.reportingVms, config_version: view.activeConfig()?.config.version,
+				...(storeAgeMs && {store_age_ms: Math.round(storeAgeMs())}),
 			});
 			if (group) {
 				group.open++;
