Pass precedence on as one value, and name it in the log of refused requests

A refusal's line had only whether the request yields, the grant's also whether its team is far ahead. The virtual fleet takes its records from tools/measure. No decision changes: the virtual fleets start the same requests as before.

--- a/src/core/placement/messages.ts
+++ b/src/core/placement/messages.ts
@@ -5,6 +5,7 @@
 import {type SentPrompt} from './prefix-cache-estimate.js';
 import {type LastDecline, type OutgoingMessage, type PeerMessage} from './reservations.js';
 import {type QueueSnapshot} from './service-queue.js';
+import {type Precedence} from './start-limits.js';
 import {type UnavailableTargets} from './target-choice.js';
 import {type PlacementRequest} from './types.js';
 
@@ -55,7 +56,7 @@
 		readonly request: PlacementRequest;
 		readonly reason: PlacementRejection;
 		readonly retryAfterMs: number;
-		readonly givesWay: boolean;
+		readonly precedence: Precedence;
 		readonly teamFigures: TeamFigures;
 		/** State of the queue when the request entered it. */
 		readonly queue?: QueueSnapshot;
--- a/src/core/placement/reservations.ts
+++ b/src/core/placement/reservations.ts
@@ -10,9 +10,9 @@
 import {
 	MAX_AWAIT_MS, TargetLedger, type ReservationAnswer, type Reservation,
 } from './target-ledger.js';
+import {type Precedence} from './start-limits.js';
 import {createTargetOwners, type TargetOwners} from './target-owners.js';
 import {type PlacementRequest} from './types.js';
-import {type Precedence} from './start-limits.js';
 
 /** Longest time for which an owner's reply is awaited, as a share of the latency target. */
 const MAX_REPLY_TIMEOUT_SHARE = 0.2;
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -25,6 +25,7 @@
 } from './reservations.js';
 import {createSentPrompts} from './sent-prompts.js';
 import {ServiceQueue, type QueueRejection, type Tier} from './service-queue.js';
+import {ORDINARY_PRECEDENCE, type Precedence} from './start-limits.js';
 import {
 	chooseTarget, hasTargetLeft, shortestBackOffMs, countUnavailable, type Candidate, type ChoiceContext,
 } from './target-choice.js';
@@ -32,7 +33,6 @@
 import {TeamShares} from './team-shares.js';
 import {type FleetBounds, type PlacementRequest} from './types.js';
 import {plainInTimeShare, reservedInTimeShare} from './waiting-times.js';
-import {type Precedence} from './start-limits.js';
 
 /** Bounds in milliseconds of the Retry-After that is computed from the prefill backlog. It is used in small fleets, and in large ones while the drain rate of a queue is unknown. */
 const MIN_RETRY_AFTER_MS = 300;
@@ -215,7 +215,7 @@
 
 		if (!hasTargetLeft(request, ctx)) {
 			return [{
-				kind: 'reject', request, reason: 'no-target', retryAfterMs: shortestBackOffMs(request, ctx) ?? NO_TARGET_RETRY_AFTER_MS, givesWay: false, teamFigures: this.#teamFigures(request, nowMs),
+				kind: 'reject', request, reason: 'no-target', retryAfterMs: shortestBackOffMs(request, ctx) ?? NO_TARGET_RETRY_AFTER_MS, precedence: ORDINARY_PRECEDENCE, teamFigures: this.#teamFigures(request, nowMs),
 			}];
 		}
 
@@ -506,7 +506,7 @@
 
 		const ids = this.#knownTargets.usable().map(({record}) => record.id);
 		return this.#queue.removeAll(({tried}) => ids.every(id => tried.includes(id))).map(({request, queue}) => ({
-			kind: 'reject', request, reason: 'no-target', retryAfterMs: NO_TARGET_RETRY_AFTER_MS, givesWay: false, teamFigures: this.#teamFigures(request, nowMs),
+			kind: 'reject', request, reason: 'no-target', retryAfterMs: NO_TARGET_RETRY_AFTER_MS, precedence: ORDINARY_PRECEDENCE, teamFigures: this.#teamFigures(request, nowMs),
 			lastDecline: this.#reservations.takeLastDecline(request.requestId), ...(queue && {queue}),
 		}));
 	}
@@ -514,7 +514,7 @@
 	#reject({request, reason, queue}: QueueRejection, ctx: ChoiceContext): PlacementEffect {
 		const precedence = this.#precedence(request, queue?.tier ?? 'in-time', ctx.nowMs);
 		return {
-			kind: 'reject', request, reason, givesWay: precedence.givesWay, teamFigures: this.#teamFigures(request, ctx.nowMs), retryAfterMs: this.#retryAfterMs(request, ctx.nowMs), unavailable: countUnavailable(request, precedence, ctx),
+			kind: 'reject', request, reason, precedence, teamFigures: this.#teamFigures(request, ctx.nowMs), retryAfterMs: this.#retryAfterMs(request, ctx.nowMs), unavailable: countUnavailable(request, precedence, ctx),
 			lastDecline: this.#reservations.takeLastDecline(request.requestId), ...(queue && {queue}),
 		};
 	}
--- a/src/core/placement/start-limits.ts
+++ b/src/core/placement/start-limits.ts
@@ -45,6 +45,9 @@
 	readonly isFarAhead: boolean;
 };
 
+/** The precedence of a request that yields to none. */
+export const ORDINARY_PRECEDENCE: Precedence = {givesWay: false, isFarAhead: false};
+
 /** Conditions that decide which limits apply to a request. */
 export type StartTerms = Precedence & {
 	/** Whether all requests at the target are known, as they are to the owner of its ledger. */
@@ -53,15 +56,15 @@
 
 /** Returns the limits of a request. A resumed request does not yield, since its caller has already received some of the response. */
 const limitsOf = ({isResumed}: Pick<PlacementRequest, 'isResumed'>, {givesWay, isFarAhead, isExact}: StartTerms): StartLimits => {
-	if (isFarAhead && !isResumed) {
-		return isExact ? RESERVED_FAR_AHEAD : FAR_AHEAD;
+	if (isResumed || !(givesWay || isFarAhead)) {
+		return isExact ? RESERVED : ORDINARY;
 	}
 
-	if (givesWay && !isResumed) {
-		return isExact ? RESERVED_YIELDING : YIELDING;
+	if (isFarAhead) {
+		return isExact ? RESERVED_FAR_AHEAD : FAR_AHEAD;
 	}
 
-	return isExact ? RESERVED : ORDINARY;
+	return isExact ? RESERVED_YIELDING : YIELDING;
 };
 
 /** Slots and current load of a target. */
--- a/src/runtime/routing/placement-fields.ts
+++ b/src/runtime/routing/placement-fields.ts
@@ -31,7 +31,8 @@
 	request_id: effect.request.requestId,
 	service,
 	reason: effect.reason,
-	gives_way: effect.givesWay,
+	gives_way: effect.precedence.givesWay,
+	far_ahead: effect.precedence.isFarAhead,
 	...teamFields(effect.teamFigures),
 	...(effect.unavailable && {
 		targets: effect.unavailable.targets,
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -17,6 +17,7 @@
 import {type PeerMessage} from '../../core/placement/reservations.js';
 import {type Tier} from '../../core/placement/service-queue.js';
 import {ServicePlacement} from '../../core/placement/service-placement.js';
+import {ORDINARY_PRECEDENCE} from '../../core/placement/start-limits.js';
 import {type FleetBounds, type PlacementRequest} from '../../core/placement/types.js';
 import {coldLimit} from '../../core/placement/cold-limit.js';
 import {type FleetUpdate, type RoutedService, type TargetRecord} from '../../core/routing/types.js';
@@ -394,7 +395,7 @@
 			deliverWhenCurrent();
 		} else {
 			applyEffects(service, undefined, [{
-				kind: 'reject', request: placementRequest, reason: 'no-target', retryAfterMs: DEFAULT_LATENCY_MS, givesWay: false, teamFigures: {team: placementRequest.team, usage: 0, shareUsage: Infinity},
+				kind: 'reject', request: placementRequest, reason: 'no-target', retryAfterMs: DEFAULT_LATENCY_MS, precedence: ORDINARY_PRECEDENCE, teamFigures: {team: placementRequest.team, usage: 0, shareUsage: Infinity},
 			}]);
 		}
 
--- a/test/placement/_fleet-model.ts
+++ b/test/placement/_fleet-model.ts
@@ -9,6 +9,7 @@
 import {prefixKeys} from '../../src/core/placement/prefix-cache-estimate.js';
 import {type ServicePlacement} from '../../src/core/placement/service-placement.js';
 import {createRandom} from '../../tools/load/random.js';
+import {type RecordedRequest} from '../../tools/measure/team-halves.js';
 import {
 	createRequest, createPlacement, modelService, target,
 } from './_service.js';
@@ -49,16 +50,6 @@
 	readonly tokensPerS?: number;
 };
 
-/** A request as its caller and its engine see it. */
-export type TeamRequest = {
-	readonly team: string;
-	/** Tokens of the prompt. */
-	readonly tokens: number;
-	readonly arrivedMs: number;
-	/** Time of the first token; undefined if the request got none. */
-	readonly firstTokenMs: number | undefined;
-};
-
 export type FleetFigures = {
 	readonly submitted: number;
 	readonly inTime: number;
@@ -76,8 +67,8 @@
 	readonly messages: number;
 	/** Share of the engines' time that was used for prefill. */
 	readonly utilization: number;
-	/** Requests with the times of their arrivals and of their starts, which are absent if they were refused, in the order of arrival. */
-	readonly requests: readonly TeamRequest[];
+	/** All requests, in the order of arrival. */
+	readonly requests: readonly RecordedRequest[];
 };
 
 type Event = {readonly atMs: number; readonly act: (nowMs: number) => void};
@@ -115,7 +106,7 @@
 	const inPrefill = new Map<number, number>();
 	const vms: ServicePlacement[] = [];
 	const loadsOf = names.map(() => new FleetLoads());
-	const requests = new Map<string, {-readonly [Key in keyof TeamRequest]: TeamRequest[Key]}>();
+	const requests = new Map<string, {-readonly [Key in keyof RecordedRequest]: RecordedRequest[Key]}>();
 
 	const tokensToPrefill = (prompt: Prompt, engine: Engine, source: Engine | undefined): number => {
 		let {tokens} = prompt;
