--- a/src/core/placement/messages.ts
+++ b/src/core/placement/messages.ts
@@ -82,6 +82,6 @@
 	readonly copyFrom: TargetRecord | undefined;
 	/** Whether the request yielded to others: its team was beyond its share, it was late, or more urgent requests had to wait. */
 	readonly givesWay: boolean;
-	/** Share of the limits of yielding requests that it could use. */
-	readonly allowance: number;
+	/** Whether its team was so far ahead of one that waits that it yielded to those that yield too. */
+	readonly isFarAhead: boolean;
 };
--- a/src/core/placement/reservations.ts
+++ b/src/core/placement/reservations.ts
@@ -118,9 +118,9 @@
 	}
 
 	/** Whether a target recently declined a request that needs as much as this one or less. */
-	hasDeclined(target: string, {newTokens, givesWay, allowance}: Precedence & {readonly newTokens: number}, nowMs: number): boolean {
+	hasDeclined(target: string, {newTokens, givesWay, isFarAhead}: Precedence & {readonly newTokens: number}, nowMs: number): boolean {
 		const decline = this.#declines.get(target);
-		return decline !== undefined && nowMs < decline.untilMs && newTokens >= decline.newTokens && (givesWay || !decline.givesWay) && allowance <= decline.allowance;
+		return decline !== undefined && nowMs < decline.untilMs && newTokens >= decline.newTokens && (givesWay || !decline.givesWay) && (isFarAhead || !decline.isFarAhead);
 	}
 
 	/** Whether a request is still in the pause after a decline. */
@@ -287,7 +287,7 @@
 	#reservationOf(id: string, request: PlacementRequest & {readonly prompt: NonNullable<PlacementRequest['prompt']>}, {target, keys, copiedTokens, figures}: Candidate, nowMs: number): Reservation {
 		const {prompt, targetLatencyMs, arrivedMs, isResumed} = request;
 		return {
-			id, target: target.record.id, prompt, keys, copiedTokens, targetLatencyMs, waitedMs: nowMs - arrivedMs, givesWay: figures.givesWay, allowance: figures.allowance, isResumed,
+			id, target: target.record.id, prompt, keys, copiedTokens, targetLatencyMs, waitedMs: nowMs - arrivedMs, givesWay: figures.givesWay, isFarAhead: figures.isFarAhead, isResumed,
 		};
 	}
 
@@ -333,7 +333,7 @@
 		}
 
 		this.#declines.set(target.record.id, {
-			untilMs: nowMs + answer.retryAfterMs, newTokens, givesWay: candidate.figures.givesWay, allowance: candidate.figures.allowance,
+			untilMs: nowMs + answer.retryAfterMs, newTokens, givesWay: candidate.figures.givesWay, isFarAhead: candidate.figures.isFarAhead,
 		});
 		const pauseMs = Math.min(MAX_PAUSE_MS, Math.max(MIN_PAUSE_MS, request.targetLatencyMs * PAUSE_SHARE));
 		this.#requestDeclines.set(request.requestId, {notBeforeMs: nowMs + pauseMs, last: {...answer, newTokens}});
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -239,7 +239,7 @@
 		const isBeyondShare = this.#shares.isBeyondShare(request.team, nowMs);
 		return {
 			givesWay: isBeyondShare || this.#queue.givesWay(request, tier, nowMs),
-			allowance: isBeyondShare && this.#usesReservations() ? this.#shares.allowanceOf(request.team, nowMs) : 1,
+			isFarAhead: isBeyondShare && this.#usesReservations() && this.#shares.isFarAhead(request.team, nowMs),
 		};
 	}
 
--- a/src/core/placement/start-limits.ts
+++ b/src/core/placement/start-limits.ts
@@ -26,6 +26,10 @@
 const RESERVED: StartLimits = {startShare: 0.65, slotShare: 0.85, memoryShare: 0.5};
 /** Limits of requests that yield and that an exact ledger admits. */
 const RESERVED_YIELDING: StartLimits = {startShare: 0.4, slotShare: 0.5, memoryShare: 0.25};
+/** Limits of requests whose team is far ahead of one that waits. They use what the others leave, so that the engines are not idle. */
+const FAR_AHEAD: StartLimits = {startShare: 0.15, slotShare: 0.2, memoryShare: 0.08};
+/** Limits of such requests that an exact ledger admits. */
+const RESERVED_FAR_AHEAD: StartLimits = {startShare: 0.25, slotShare: 0.25, memoryShare: 0.12};
 /** Share of the latency target that the prefill ahead of a large prompt may take if that prompt would be late even without it. */
 const LARGE_PROMPT_BACKLOG_SHARE = 0.03;
 /** Requests that a plain target may have for each of its slots. Requests beyond its slots wait at the target. */
@@ -33,16 +37,16 @@
 /** Requests that a plain target may have for each of its slots where the new request yields. Such a request takes only a free slot and never waits at a target ahead of others. */
 const PLAIN_YIELDING_REQUESTS_PER_SLOT = 1;
 
-/** The precedence of a request over others. */
+/** The precedence of a request, in three steps. */
 export type Precedence = {
 	/** Whether the request yields to others: its team has received its share, or it is late or less urgent. */
 	readonly givesWay: boolean;
-	/** Share of the limits of yielding requests that a yielding one may use, in (0, 1]. It is below 1 where its team has received far more than one that waits, the less the further ahead it is. */
-	readonly allowance: number;
+	/** Whether its team has received so much more than a team that waits that it yields to those that yield too. */
+	readonly isFarAhead: boolean;
 };
 
 /** The precedence of a request that yields to none. */
-export const ORDINARY_PRECEDENCE: Precedence = {givesWay: false, allowance: 1};
+export const ORDINARY_PRECEDENCE: Precedence = {givesWay: false, isFarAhead: false};
 
 /** Conditions that decide which limits apply to a request. */
 export type StartTerms = Precedence & {
@@ -51,13 +55,16 @@
 };
 
 /** Returns the limits of a request. A resumed request does not yield, since its caller has already received some of the response. */
-const limitsOf = ({isResumed}: Pick<PlacementRequest, 'isResumed'>, {givesWay, allowance, isExact}: StartTerms): StartLimits => {
-	if (isResumed || !givesWay) {
+const limitsOf = ({isResumed}: Pick<PlacementRequest, 'isResumed'>, {givesWay, isFarAhead, isExact}: StartTerms): StartLimits => {
+	if (isResumed || !(givesWay || isFarAhead)) {
 		return isExact ? RESERVED : ORDINARY;
 	}
 
-	const {startShare, slotShare, memoryShare} = isExact ? RESERVED_YIELDING : YIELDING;
-	return {startShare: startShare * allowance, slotShare: slotShare * allowance, memoryShare: memoryShare * allowance};
+	if (isFarAhead) {
+		return isExact ? RESERVED_FAR_AHEAD : FAR_AHEAD;
+	}
+
+	return isExact ? RESERVED_YIELDING : YIELDING;
 };
 
 /** Slots and current load of a target. */
--- a/src/core/placement/target-ledger.ts
+++ b/src/core/placement/target-ledger.ts
@@ -57,8 +57,8 @@
 	readonly targetLatencyMs: number;
 	readonly waitedMs: number;
 	readonly givesWay: boolean;
-	/** Share of the limits of yielding requests that this one may use if it yields. */
-	readonly allowance: number;
+	/** Whether the request's team is far ahead of one that waits. */
+	readonly isFarAhead: boolean;
 	readonly isResumed: boolean;
 };
 
@@ -148,7 +148,7 @@
 			ownPrefillMs: slowedMs(newTokens / tokensPerMs, ctx.slowdown),
 		};
 		const load = {running: this.#knownRunning(ctx), readingTokens: this.#readingTokens, heldTokens: this.#heldTokens};
-		const terms = {givesWay: reservation.givesWay, allowance: reservation.allowance, isExact: true};
+		const terms = {givesWay: reservation.givesWay, isFarAhead: reservation.isFarAhead, isExact: true};
 		const isGranted = hasCapacity(reservation, {slots: ctx.slots, load}, {service: ctx.service, ...terms}) && startsInTime(reservation, prediction, terms)
 			&& (prefix !== undefined || ((this.#readingTokens + newTokens) / tokensPerMs) + ALL_PROMPTS_KNOWN.overheadMs <= this.#slackOfWaitingMs(nowMs));
 		if (isGranted) {
--- a/src/core/placement/team-shares.ts
+++ b/src/core/placement/team-shares.ts
@@ -13,9 +13,7 @@
 const LEAD_REQUESTS = 2;
 /** Multiple of its fair share that a team may use before its requests yield, since late responses are worth less. */
 const SHARE_MARGIN = 1.15;
-/** Least allowance of a team, so that the engines are not idle for lack of other requests. */
-const MIN_ALLOWANCE = 0.1;
-/** Milliseconds for which a computed share or ceiling is valid; reports of other VMs arrive about as often. */
+/** Milliseconds for which a computed share, or usage of a team far ahead, is valid; reports of other VMs arrive about as often. */
 const SHARE_VALID_MS = 50;
 /** Weight of one request in the average cost. */
 const AVERAGE_WEIGHT = 0.05;
@@ -34,8 +32,8 @@
 	readonly #demand = createDecayingSums();
 	#averageCost = 0;
 	#share = {usage: Infinity, untilMs: -Infinity};
-	/** The last `usageCeiling`. */
-	#ceiling = {usage: Infinity, untilMs: -Infinity};
+	/** Usage beyond which a team is far ahead of one that waits. */
+	#farAhead = {usage: Infinity, untilMs: -Infinity};
 
 	constructor(options: TeamSharesOptions) {
 		this.#options = options;
@@ -74,16 +72,13 @@
 		return this.usageOf(team, nowMs) > this.shareUsage(nowMs);
 	}
 
-	/**
-	 * Returns the share of the limits of yielding requests that a team may use: below 1 if its usage
-	 * is far above that of a team that waits at another VM, in inverse proportion.
-	 */
-	allowanceOf(team: string, nowMs: number): number {
-		if (nowMs >= this.#ceiling.untilMs) {
-			this.#ceiling = {usage: this.usageCeiling(nowMs), untilMs: nowMs + SHARE_VALID_MS};
+	/** Whether the usage of a team is so far above that of a team that waits at another VM that it yields to all others. */
+	isFarAhead(team: string, nowMs: number): boolean {
+		if (nowMs >= this.#farAhead.untilMs) {
+			this.#farAhead = {usage: this.usageCeiling(nowMs), untilMs: nowMs + SHARE_VALID_MS};
 		}
 
-		return Math.max(MIN_ALLOWANCE, Math.min(1, this.#ceiling.usage / this.usageOf(team, nowMs)));
+		return this.usageOf(team, nowMs) > this.#farAhead.usage;
 	}
 
 	/** Returns the usage beyond which the requests of a team yield. */
--- a/src/runtime/routing/placement-fields.ts
+++ b/src/runtime/routing/placement-fields.ts
@@ -1,10 +1,7 @@
 /** Builds the log fields that record the decision where to place a request, and the inputs of that decision. */
 import {type PlacementEffect, type TeamFigures} from '../../core/placement/messages.js';
-import {type Precedence} from '../../core/placement/start-limits.js';
 import {type QueueSnapshot} from '../../core/placement/service-queue.js';
 
-const PERCENT = 100;
-
 type Reject = Extract<PlacementEffect, {kind: 'reject'}>;
 type Granted = Extract<PlacementEffect, {kind: 'grant'}>;
 
@@ -30,15 +27,12 @@
 	team, team_use: Math.round(usage), ...(Number.isFinite(shareUsage) && {share_use: Math.round(shareUsage)}),
 });
 
-/** Returns the share of the limits of yielding requests, if the request could not use all of them. */
-const allowanceField = ({allowance}: Pick<Precedence, 'allowance'>) => allowance < 1 && {allowance: Math.round(allowance * PERCENT) / PERCENT};
-
 export const rejectFields = (service: string, effect: Reject, nowMs: number) => ({
 	request_id: effect.request.requestId,
 	service,
 	reason: effect.reason,
 	gives_way: effect.precedence.givesWay,
-	...allowanceField(effect.precedence),
+	far_ahead: effect.precedence.isFarAhead,
 	...teamFields(effect.teamFigures),
 	...(effect.unavailable && {
 		targets: effect.unavailable.targets,
@@ -65,7 +59,7 @@
 	others: details.othersRunning,
 	cold: details.isCold,
 	gives_way: details.givesWay,
-	...allowanceField(details),
+	far_ahead: details.isFarAhead,
 	...teamFields(teamFigures),
 	...queueFields(queue),
 	heartbeat_age_ms: Math.round(details.heartbeatAgeMs),
--- a/src/runtime/routing/reservation-messages.ts
+++ b/src/runtime/routing/reservation-messages.ts
@@ -4,14 +4,11 @@
 import {type PeerMessage} from '../../core/placement/reservations.js';
 import {type PeerDatagram, type PeerDatagramSchema, type ReservationRequest} from '../../gen/jackdawwood/v1/exchange_pb.js';
 
-const PERCENT = 100;
-
 /** A message with the service that it concerns. */
 export type ServiceMessage = {readonly service: string; readonly message: PeerMessage};
 
-const encodeRequest = (service: string, {id, target, prompt, keys, copiedTokens, targetLatencyMs, waitedMs, givesWay, allowance, isResumed}: Reservation) => ({
-	id, service, target, keys: [...keys], givesWay, isResumed,
-	allowancePercent: Math.max(1, Math.round(allowance * PERCENT)),
+const encodeRequest = (service: string, {id, target, prompt, keys, copiedTokens, targetLatencyMs, waitedMs, givesWay, isFarAhead, isResumed}: Reservation) => ({
+	id, service, target, keys: [...keys], givesWay, isFarAhead, isResumed,
 	partTokens: prompt.parts.slice(0, keys.length).map(({tokens}) => Math.round(tokens)),
 	promptTokens: Math.round(prompt.tokens),
 	outputTokens: Math.round(prompt.outputTokens),
@@ -20,10 +17,8 @@
 	waitedMs: Math.max(0, Math.round(waitedMs)),
 });
 
-const decodeRequest = ({id, target, keys, partTokens, promptTokens, outputTokens, copiedTokens, latencyTargetMs, waitedMs, givesWay, allowancePercent, isResumed}: ReservationRequest): Reservation => ({
-	id, target, keys, copiedTokens, targetLatencyMs: latencyTargetMs, waitedMs, givesWay, isResumed,
-	// VMs of an earlier version send none.
-	allowance: allowancePercent === 0 ? 1 : Math.min(1, allowancePercent / PERCENT),
+const decodeRequest = ({id, target, keys, partTokens, promptTokens, outputTokens, copiedTokens, latencyTargetMs, waitedMs, givesWay, isFarAhead, isResumed}: ReservationRequest): Reservation => ({
+	id, target, keys, copiedTokens, targetLatencyMs: latencyTargetMs, waitedMs, givesWay, isFarAhead, isResumed,
 	// The keys are hashes that identify the prompt parts, so the parts' ids are not sent.
 	prompt: {
 		model: '', parts: partTokens.map(tokens => ({id: '', tokens})), tokens: promptTokens, outputTokens,
--- a/test/placement/reservations.test.ts
+++ b/test/placement/reservations.test.ts
@@ -18,7 +18,7 @@
 const reservation = (id: string, tokens: number, changes: Partial<Reservation> = {}): Reservation => {
 	const wantedPrompt = prompt(id, tokens);
 	return {
-		id, target: 't1', prompt: wantedPrompt, keys: prefixKeys(wantedPrompt), copiedTokens: 0, targetLatencyMs: 800, waitedMs: 0, givesWay: false, allowance: 1, isResumed: false, ...changes,
+		id, target: 't1', prompt: wantedPrompt, keys: prefixKeys(wantedPrompt), copiedTokens: 0, targetLatencyMs: 800, waitedMs: 0, givesWay: false, isFarAhead: false, isResumed: false, ...changes,
 	};
 };
 
--- a/test/routing/reservation-messages.test.ts
+++ b/test/routing/reservation-messages.test.ts
@@ -13,7 +13,7 @@
 const targetId = fc.constantFrom('t1', 't2', 'none');
 
 const wish = fc.record({
-	id, target: targetId, keys: fc.array(uint32, {maxLength: 4}), copiedTokens: uint32, targetLatencyMs: uint32, waitedMs: uint32, givesWay: fc.boolean(), allowance: fc.double({min: 0, max: 1, noNaN: true}), isResumed: fc.boolean(),
+	id, target: targetId, keys: fc.array(uint32, {maxLength: 4}), copiedTokens: uint32, targetLatencyMs: uint32, waitedMs: uint32, givesWay: fc.boolean(), isFarAhead: fc.boolean(), isResumed: fc.boolean(),
 	prompt: fc.record({
 		model: fc.constant(''), parts: fc.array(fc.record({id: fc.constant(''), tokens: uint32}), {maxLength: 4}), tokens: uint32, outputTokens: uint32,
 	}),
@@ -36,7 +36,7 @@
 	const sent: ServiceMessage = {
 		service: 'tariff', message: {
 			kind: 'request', wish: {
-				id: 'vm-2-1', target: 't1', prompt: prompt('subject', 9000), keys: [1, 2], copiedTokens: 500, targetLatencyMs: 800, waitedMs: 12, givesWay: true, allowance: 0.3, isResumed: false,
+				id: 'vm-2-1', target: 't1', prompt: prompt('subject', 9000), keys: [1, 2], copiedTokens: 500, targetLatencyMs: 800, waitedMs: 12, givesWay: true, isFarAhead: true, isResumed: false,
 			},
 		},
 	};
