--- a/test/placement/_fleet-model.ts
+++ b/test/placement/_fleet-model.ts
@@ -7,6 +7,7 @@
 import {FleetLoads} from '../../src/core/placement/fleet-loads.js';
 import {type PlacementEffect, type PlacementMessage} from '../../src/core/placement/messages.js';
 import {prefixKeys} from '../../src/core/placement/prefix-cache-estimate.js';
+import {type PlacementRequest} from '../../src/core/placement/types.js';
 import {type ServicePlacement} from '../../src/core/placement/service-placement.js';
 import {createRandom} from '../../tools/load/random.js';
 import {type RecordedRequest} from '../../tools/measure/team-halves.js';
@@ -48,6 +49,8 @@
 	readonly sourceOf?: (draw: number, index: number, nowMs: number) => {readonly team: string; readonly vm: number};
 	/** Tokens that all engines are configured to sustain per second. */
 	readonly tokensPerS?: number;
+	/** Whether a refused caller returns once, at another VM, when its Retry-After is at most a third of the time that it still waits. */
+	readonly returnsAfterRefusal?: boolean;
 };
 
 export type FleetFigures = {
@@ -58,6 +61,8 @@
 	/** Requests of the second tier, which were late when they were started. */
 	readonly servedLate: number;
 	readonly refused: number;
+	/** Requests without a first token or a refusal at the end, whose latency target had passed by then. */
+	readonly unanswered: number;
 	/** Tokens of shared prefixes that an engine prefilled although another engine had them cached. */
 	readonly prefilledAgain: number;
 	readonly prefilledTokens: number;
@@ -73,6 +78,11 @@
 
 type Event = {readonly atMs: number; readonly act: (nowMs: number) => void};
 
+/** Milliseconds for which a caller waits for the first token. */
+const PATIENCE_MS = 10_000;
+/** Largest Retry-After after which a caller returns, as a share of the time that it still waits. */
+const RETURN_SHARE = 1 / 3;
+
 type Engine = {
 	/** Keys of the cached prefixes. */
 	readonly cached: Set<number>;
@@ -82,7 +92,7 @@
 	waiting: number;
 };
 
-export const runFleet = ({seed, vms: size, engines: count, requestsPerS, durationMs, latencyTargetMs, promptOf, lagMs = () => 0, diesAtMs = () => Infinity, slowdownOf, sourceOf, tokensPerS}: FleetLoad): FleetFigures => {
+export const runFleet = ({seed, vms: size, engines: count, requestsPerS, durationMs, latencyTargetMs, promptOf, lagMs = () => 0, diesAtMs = () => Infinity, slowdownOf, sourceOf, tokensPerS, returnsAfterRefusal = false}: FleetLoad): FleetFigures => {
 	const random = createRandom(seed);
 	const lags = createRandom(seed + 1000);
 	const names = Array.from({length: size}, (_, index) => `vm-${index}`);
@@ -177,6 +187,34 @@
 		});
 	};
 
+	/** Requests that were refused, and that callers brought back. */
+	const refused = new Set<string>();
+	const returned = new Set<string>();
+	const onRefusal = ({request, retryAfterMs}: Extract<PlacementEffect, {kind: 'reject'}>, nowMs: number): void => {
+		figures.refused++;
+		refused.add(request.requestId);
+		const remainingMs = request.arrivedMs + PATIENCE_MS - nowMs;
+		if (returnsAfterRefusal && !returned.has(request.requestId) && retryAfterMs <= remainingMs * RETURN_SHARE) {
+			schedule(nowMs + retryAfterMs, atMs => {
+				const again = createRequest(request.team, atMs, {prompt: request.prompt!, targetLatencyMs: latencyTargetMs, firstAttemptMs: request.arrivedMs});
+				returned.add(again.requestId);
+				submit(again, Math.floor(lags.uniform() * size), atMs);
+			});
+		}
+	};
+
+	function submit(request: PlacementRequest, vm: number, nowMs: number): void {
+		if (nowMs >= diesAtMs(vm)) {
+			return;
+		}
+
+		figures.submitted++;
+		requests.set(request.requestId, {
+			team: request.team, tokens: request.prompt?.tokens ?? 0, arrivedMs: nowMs, firstTokenMs: undefined,
+		});
+		deliver(vm, {kind: 'ask', request}, nowMs);
+	}
+
 	function deliver(vm: number, message: PlacementMessage, nowMs: number): void {
 		if (nowMs >= diesAtMs(vm)) {
 			return;
@@ -186,7 +224,7 @@
 			if (effect.kind === 'grant') {
 				runRequest(vm, effect, nowMs);
 			} else if (effect.kind === 'reject') {
-				figures.refused++;
+				onRefusal(effect, nowMs);
 			} else {
 				const to = names.indexOf(effect.vm);
 				figures.messages++;
@@ -237,17 +275,8 @@
 		const prompt = promptOf(random.uniform(), index);
 		const draw = random.uniform();
 		const {team, vm} = sourceOf?.(draw, index, nowMs) ?? {team: `team-${index % 20}`, vm: Math.floor(draw * size)};
-		if (nowMs >= diesAtMs(vm)) {
-			continue;
-		}
-
 		schedule(nowMs, () => {
-			figures.submitted++;
-			const request = createRequest(team, nowMs, {prompt, targetLatencyMs: latencyTargetMs});
-			requests.set(request.requestId, {
-				team, tokens: prompt.tokens, arrivedMs: nowMs, firstTokenMs: undefined,
-			});
-			deliver(vm, {kind: 'ask', request}, nowMs);
+			submit(createRequest(team, nowMs, {prompt, targetLatencyMs: latencyTargetMs}), vm, nowMs);
 		});
 	}
 
@@ -260,5 +289,8 @@
 		events.delete(nowMs);
 	}
 
-	return {...figures, requests: [...requests.values()], utilization: figures.prefilledTokens / PREFILL_TOKENS_PER_MS / (durationMs * count)};
+	const unanswered = [...requests].filter(([id, {arrivedMs, firstTokenMs}]) => firstTokenMs === undefined && !refused.has(id) && arrivedMs + latencyTargetMs < durationMs).length;
+	return {
+		...figures, unanswered, requests: [...requests.values()], utilization: figures.prefilledTokens / PREFILL_TOKENS_PER_MS / (durationMs * count),
+	};
 };
