Count prompts by size, reservations per request, and bytes by kind and data centre

'request placed' and 'request not placed' get prompt_tokens and attempts; a line 'traffic' each 5 s and counters name datagrams, messages and bytes by kind (report, reservation, rollout, quarantine), and bytes to and from targets in this and in other data centres. Placement itself is unchanged.

--- a/src/core/placement/messages.ts
+++ b/src/core/placement/messages.ts
@@ -50,7 +50,7 @@
 export type PlacementEffect =
 	/** A message that is sent to another VM without delay and that may be lost. */
 	| ({readonly kind: 'tell-peer'} & OutgoingMessage)
-	| {readonly kind: 'grant'; readonly request: PlacementRequest; readonly grantId: string; readonly target: TargetRecord; readonly details: PlacementDetails; readonly teamFigures: TeamFigures; readonly queue?: QueueSnapshot}
+	| {readonly kind: 'grant'; readonly request: PlacementRequest; readonly grantId: string; readonly target: TargetRecord; readonly details: PlacementDetails; readonly teamFigures: TeamFigures; readonly attempts: number; readonly queue?: QueueSnapshot}
 	| {
 		readonly kind: 'reject';
 		readonly request: PlacementRequest;
@@ -58,6 +58,8 @@
 		readonly retryAfterMs: number;
 		readonly precedence: Precedence;
 		readonly teamFigures: TeamFigures;
+		/** Number of reservations that were requested for the request. */
+		readonly attempts: number;
 		/** State of the queue when the request entered it. */
 		readonly queue?: QueueSnapshot;
 		readonly unavailable?: UnavailableTargets;
--- a/src/core/placement/reservations.ts
+++ b/src/core/placement/reservations.ts
@@ -100,6 +100,8 @@
 	readonly #declines = new Map<string, Decline>();
 	/** Last decline of each request and the end of the pause after it, by request id. */
 	readonly #requestDeclines = new Map<string, {readonly notBeforeMs: number; readonly last: LastDecline}>();
+	/** Number of reservations that were requested for each request that has not started, by request id. */
+	readonly #attempts = new Map<string, number>();
 	/** Times of the reservation requests whose replies are late, by grant id. */
 	readonly #lateReplies = new Map<string, number>();
 	/** VMs whose requests wait for the prefill of a shared prefix, by grant id. */
@@ -134,16 +136,17 @@
 		return last ? last.predictedMs * last.newTokens / Math.max(1, last.readingTokens + last.newTokens) : 0;
 	}
 
-	/** Removes the last decline of a request that was started. */
-	noteStarted({requestId}: PlacementRequest): void {
+	/** Removes what is known of a request that was started; returns the number of its reservation requests. */
+	noteStarted({requestId}: PlacementRequest): number {
 		this.#requestDeclines.delete(requestId);
+		return this.#takeAttempts(requestId);
 	}
 
-	/** Removes and returns the last decline of a request. */
-	takeLastDecline(requestId: string): LastDecline | undefined {
-		const last = this.#requestDeclines.get(requestId)?.last;
+	/** Removes what is known of a request that was rejected; returns its last decline and the number of its reservation requests. */
+	noteRejected(requestId: string): {readonly lastDecline: LastDecline | undefined; readonly attempts: number} {
+		const lastDecline = this.#requestDeclines.get(requestId)?.last;
 		this.#requestDeclines.delete(requestId);
-		return last;
+		return {lastDecline, attempts: this.#takeAttempts(requestId)};
 	}
 
 	/** Returns the leading tokens of a prompt that can be copied from its preferred target; 0 unless the owner reported them recently. */
@@ -160,6 +163,7 @@
 			return {kind: 'unowned'};
 		}
 
+		this.#attempts.set(request.requestId, (this.#attempts.get(request.requestId) ?? 0) + 1);
 		const wish = this.#reservationOf(id, {...request, prompt: request.prompt}, candidate, nowMs);
 		if (owner !== this.#options.vm) {
 			this.#pending.set(id, {
@@ -240,6 +244,7 @@
 	/** Cancels the pending reservations of a request; returns the messages to their owners. */
 	withdraw(requestId: string): readonly OutgoingMessage[] {
 		this.#requestDeclines.delete(requestId);
+		this.#attempts.delete(requestId);
 		return [...this.#pending].filter(([, {request}]) => request.requestId === requestId).map(([id, {owner, candidate}]) => {
 			this.#pending.delete(id);
 			return {
@@ -284,6 +289,12 @@
 		}
 	}
 
+	#takeAttempts(requestId: string): number {
+		const attempts = this.#attempts.get(requestId) ?? 0;
+		this.#attempts.delete(requestId);
+		return attempts;
+	}
+
 	#reservationOf(id: string, request: PlacementRequest & {readonly prompt: NonNullable<PlacementRequest['prompt']>}, {target, keys, copiedTokens, figures}: Candidate, nowMs: number): Reservation {
 		const {prompt, targetLatencyMs, arrivedMs, isResumed} = request;
 		return {
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -215,7 +215,7 @@
 
 		if (!hasTargetLeft(request, ctx)) {
 			return [{
-				kind: 'reject', request, reason: 'no-target', retryAfterMs: shortestBackOffMs(request, ctx) ?? NO_TARGET_RETRY_AFTER_MS, precedence: ORDINARY_PRECEDENCE, teamFigures: this.#teamFigures(request, nowMs),
+				kind: 'reject', request, reason: 'no-target', retryAfterMs: shortestBackOffMs(request, ctx) ?? NO_TARGET_RETRY_AFTER_MS, precedence: ORDINARY_PRECEDENCE, teamFigures: this.#teamFigures(request, nowMs), ...this.#reservations.noteRejected(request.requestId),
 			}];
 		}
 
@@ -476,11 +476,11 @@
 		}
 
 		const teamFigures = this.#teamFigures(request, nowMs);
-		this.#reservations.noteStarted(request);
+		const attempts = this.#reservations.noteStarted(request);
 		this.#shares.noteStarted(request.team, costOf(request), nowMs);
 		const queue = this.#queue.noteStarted(request, nowMs);
 		return {
-			kind: 'grant', request, grantId, target: target.record, details: figures, teamFigures, ...(queue && {queue}),
+			kind: 'grant', request, grantId, target: target.record, details: figures, teamFigures, attempts, ...(queue && {queue}),
 		};
 	}
 
@@ -507,7 +507,7 @@
 		const ids = this.#knownTargets.usable().map(({record}) => record.id);
 		return this.#queue.removeAll(({tried}) => ids.every(id => tried.includes(id))).map(({request, queue}) => ({
 			kind: 'reject', request, reason: 'no-target', retryAfterMs: NO_TARGET_RETRY_AFTER_MS, precedence: ORDINARY_PRECEDENCE, teamFigures: this.#teamFigures(request, nowMs),
-			lastDecline: this.#reservations.takeLastDecline(request.requestId), ...(queue && {queue}),
+			...this.#reservations.noteRejected(request.requestId), ...(queue && {queue}),
 		}));
 	}
 
@@ -515,7 +515,7 @@
 		const precedence = this.#precedence(request, queue?.tier ?? 'in-time', ctx.nowMs);
 		return {
 			kind: 'reject', request, reason, precedence, teamFigures: this.#teamFigures(request, ctx.nowMs), retryAfterMs: this.#retryAfterMs(request, ctx.nowMs), unavailable: countUnavailable(request, precedence, ctx),
-			lastDecline: this.#reservations.takeLastDecline(request.requestId), ...(queue && {queue}),
+			...this.#reservations.noteRejected(request.requestId), ...(queue && {queue}),
 		};
 	}
 
--- a/src/runtime/observe/metrics.ts
+++ b/src/runtime/observe/metrics.ts
@@ -58,6 +58,25 @@
 		exchangeFaults: new Counter({
 			name: 'jackdawwood_exchange_faults_total', help: 'Datagrams to or from other VMs that could not be encoded, sent or processed.', labelNames: ['direction'] as const, registers,
 		}),
+		peerDatagrams: new Counter({
+			name: 'jackdawwood_peer_datagrams_total', help: 'Datagrams sent to other VMs.', labelNames: ['kind'] as const, registers,
+		}),
+		peerMessages: new Counter({
+			name: 'jackdawwood_peer_messages_total', help: 'Messages in datagrams sent to other VMs.', labelNames: ['kind'] as const, registers,
+		}),
+		peerBytes: new Counter({
+			name: 'jackdawwood_peer_bytes_total', help: 'Bytes of datagrams sent to other VMs.', labelNames: ['kind'] as const, registers,
+		}),
+		targetBytes: new Counter({
+			name: 'jackdawwood_target_bytes_total', help: 'Bytes of request bodies sent to targets and of response bodies read from them.', labelNames: ['direction', 'data_centre'] as const, registers,
+		}),
+		promptOutcomes: new Counter({
+			name: 'jackdawwood_prompt_outcomes_total', help: 'Requests with a prompt that were given a target or refused one, by the size of the prompt.',
+			labelNames: ['service', 'route', 'tokens', 'outcome'] as const, registers,
+		}),
+		reservationAttempts: new Counter({
+			name: 'jackdawwood_reservation_attempts_total', help: 'Reservations that were requested for prompts, by the size of the prompt.', labelNames: ['service', 'route', 'tokens'] as const, registers,
+		}),
 		targetEnds: new Counter({
 			name: 'jackdawwood_target_ends_total', help: 'Ends of target processes with requests in service, as far as this VM knows.', registers,
 		}),
--- a/src/runtime/routing/load-exchange.ts
+++ b/src/runtime/routing/load-exchange.ts
@@ -19,6 +19,7 @@
 } from '../../gen/jackdawwood/v1/exchange_pb.js';
 import {hash32} from '../../core/membership/rendezvous.js';
 import {type PeerMessage} from '../../core/placement/reservations.js';
+import {type PeerTraffic} from '../observe/traffic-report.js';
 import {type StoreFreshness} from '../../core/store-watch/types.js';
 import {type Log} from '../observe/log.js';
 import {decodeRollouts, encodeRollouts} from '../rollout/rollout-messages.js';
@@ -71,6 +72,8 @@
 	readonly onQuarantine?: (from: string, report: QuarantineReport) => void;
 	/** Called when a datagram has arrived, before it is processed. */
 	readonly onDatagram?: () => void;
+	/** Called with each datagram that is sent, once for each VM that it is sent to. */
+	readonly onSent?: (kind: PeerTraffic, messages: number, bytes: number) => void;
 	/** Called when a datagram could not be processed, or not be encoded or sent. */
 	readonly onFault?: (direction: 'in' | 'out') => void;
 };
@@ -88,7 +91,7 @@
 /** Starts to listen for datagrams and to send reports. */
 export const startLoadExchange = async ({
 	vm, incarnation, listen, clock, log, loads, peers, peerOf, onUnknownVm, onPeerMessage, targets, teams, takeSentPrompts, onSentPrompts, takeObserved, onObserved,
-	freshness, onFreshness, leavingTargets, onLeavingTargets, rollouts, onRollouts, quarantine, onQuarantine, onDatagram, onFault = () => undefined,
+	freshness, onFreshness, leavingTargets, onLeavingTargets, rollouts, onRollouts, quarantine, onQuarantine, onDatagram, onSent = () => undefined, onFault = () => undefined,
 }: LoadExchangeOptions): Promise<LoadExchange> => {
 	const socket = createSocket('udp4');
 	let sequence = 0;
@@ -164,8 +167,9 @@
 	};
 
 	/** Sends a datagram to the peers whose turn it is. */
-	const sendToPeers = (bytes: Uint8Array, plan: ExchangePlan, addresses: readonly Address[]): void => {
+	const sendToPeers = (kind: PeerTraffic, bytes: Uint8Array, {plan, addresses}: {readonly plan: ExchangePlan; readonly addresses: readonly Address[]}): void => {
 		for (const {host, port} of nextPeers(addresses, next, plan)) {
+			onSent(kind, 1, bytes.length);
 			// Errors are ignored: an unreachable peer misses one report.
 			socket.send(bytes, port, host, () => undefined);
 		}
@@ -189,7 +193,7 @@
 			const bytes = toBinary(PeerDatagramSchema, create(PeerDatagramSchema, {
 				vm, report, ...(rollouts && encodeRollouts(rollouts())), ...quarantineField(),
 			}));
-			sendToPeers(bytes, plan, addresses);
+			sendToPeers('report', bytes, {plan, addresses});
 		}
 	};
 
@@ -210,11 +214,13 @@
 
 	const outbox = new Map<string, ServiceMessage[]>();
 	/** Sends a datagram to one VM. One that cannot be encoded or sent is lost, like any other may be. */
-	const sendTo = (to: string, fields: () => MessageInitShape<typeof PeerDatagramSchema>): void => {
+	const sendTo = (to: string, fields: () => MessageInitShape<typeof PeerDatagramSchema>, {kind, messages = 1}: {readonly kind: PeerTraffic; readonly messages?: number}): void => {
 		try {
 			const address = peerOf(to);
 			if (address) {
-				socket.send(toBinary(PeerDatagramSchema, create(PeerDatagramSchema, {vm, ...fields()})), address.port, address.host, () => undefined);
+				const bytes = toBinary(PeerDatagramSchema, create(PeerDatagramSchema, {vm, ...fields()}));
+				onSent(kind, messages, bytes.length);
+				socket.send(bytes, address.port, address.host, () => undefined);
 			}
 		} catch (error) {
 			noteFault('out', error);
@@ -225,7 +231,7 @@
 		const queued = [...outbox];
 		outbox.clear();
 		for (const [to, messages] of queued) {
-			sendTo(to, () => encodeReservations(messages));
+			sendTo(to, () => encodeReservations(messages), {kind: 'reservation', messages: messages.length});
 		}
 	};
 
@@ -241,7 +247,7 @@
 			messages.push({service, message});
 		},
 		sendRolloutMessage(to, message) {
-			sendTo(to, () => encodeRollouts(message));
+			sendTo(to, () => encodeRollouts(message), {kind: 'rollout'});
 		},
 		sendQuarantine(to) {
 			const addresses = peers();
@@ -251,13 +257,13 @@
 			}
 
 			if (to !== undefined) {
-				sendTo(to, quarantineField);
+				sendTo(to, quarantineField, {kind: 'quarantine'});
 				return;
 			}
 
 			const notes = quarantineField();
 			if (notes.quarantine) {
-				sendToPeers(toBinary(PeerDatagramSchema, create(PeerDatagramSchema, {vm, ...notes})), plan, addresses);
+				sendToPeers('quarantine', toBinary(PeerDatagramSchema, create(PeerDatagramSchema, {vm, ...notes})), {plan, addresses});
 			}
 		},
 		close() {
--- a/src/runtime/routing/placement-fields.ts
+++ b/src/runtime/routing/placement-fields.ts
@@ -27,6 +27,9 @@
 	team, team_use: Math.round(usage), ...(Number.isFinite(shareUsage) && {share_use: Math.round(shareUsage)}),
 });
 
+/** Returns the size of the request's prompt, and the number of reservations that were requested for it. */
+const promptFields = ({request: {prompt}, attempts}: Reject | Granted) => prompt && {prompt_tokens: Math.round(prompt.tokens), attempts};
+
 export const rejectFields = (service: string, effect: Reject, nowMs: number) => ({
 	request_id: effect.request.requestId,
 	service,
@@ -46,22 +49,27 @@
 	...queueFields(effect.queue),
 	retry_after_ms: Math.round(effect.retryAfterMs),
 	waited_ms: Math.round(nowMs - effect.request.arrivedMs),
+	...promptFields(effect),
 });
 
-export const grantFields = (service: string, {request, target, details, teamFigures, queue}: Granted) => ({
-	request_id: request.requestId,
-	service,
-	target: target.id,
-	predicted_ms: Math.round(details.predictedMs),
-	kept_tokens: details.keptTokens,
-	copy_from: details.copyFrom?.id,
-	running: details.running,
-	others: details.othersRunning,
-	cold: details.isCold,
-	gives_way: details.givesWay,
-	far_ahead: details.isFarAhead,
-	...teamFields(teamFigures),
-	...queueFields(queue),
-	heartbeat_age_ms: Math.round(details.heartbeatAgeMs),
-	waited_ms: Math.round(details.waitedMs),
-});
+export const grantFields = (service: string, effect: Granted) => {
+	const {request, target, details, teamFigures, queue} = effect;
+	return {
+		request_id: request.requestId,
+		service,
+		target: target.id,
+		predicted_ms: Math.round(details.predictedMs),
+		kept_tokens: details.keptTokens,
+		copy_from: details.copyFrom?.id,
+		running: details.running,
+		others: details.othersRunning,
+		cold: details.isCold,
+		gives_way: details.givesWay,
+		far_ahead: details.isFarAhead,
+		...teamFields(teamFigures),
+		...queueFields(queue),
+		heartbeat_age_ms: Math.round(details.heartbeatAgeMs),
+		waited_ms: Math.round(details.waitedMs),
+		...promptFields(effect),
+	};
+};
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -39,6 +39,16 @@
 /** Latency target, in milliseconds, of requests that have none. */
 const DEFAULT_LATENCY_MS = 1000;
 
+/** Outcome of a request with a prompt. */
+export type PromptOutcome = {
+	readonly service: string;
+	readonly route: string;
+	readonly promptTokens: number;
+	readonly outcome: 'started' | PlacementRejection;
+	/** Number of reservations that were requested. */
+	readonly attempts: number;
+};
+
 export type PlacementSchedulerOptions = {
 	readonly vm: string;
 	readonly dataCentre: string;
@@ -61,6 +71,8 @@
 	readonly rollout?: Pick<RolloutTask, 'evidence' | 'versionSplit' | 'usesNewVersion' | 'maySend'>;
 	/** Counts the outcome of a request that was granted or rejected. A request that was never queued counts as in time. */
 	readonly countOutcome: (labels: {readonly service: string; readonly tier: Tier; readonly outcome: 'started' | PlacementRejection}) => void;
+	/** Counts the outcome of a request with a prompt, and the reservations that were requested for it. */
+	readonly countPrompt?: (outcome: PromptOutcome) => void;
 	/** Sends a reservation message to another VM; the message may be lost. */
 	readonly sendToPeer: (vm: string, service: string, message: PeerMessage) => void;
 };
@@ -153,7 +165,7 @@
 };
 
 export const createPlacementScheduler = ({
-	vm, dataCentre, bounds, clock, view, vms, log, loads, random, isCurrent = () => true, storeAgeMs, isVmOverloaded, rollout, countOutcome, sendToPeer,
+	vm, dataCentre, bounds, clock, view, vms, log, loads, random, isCurrent = () => true, storeAgeMs, isVmOverloaded, rollout, countOutcome, countPrompt = () => undefined, sendToPeer,
 }: PlacementSchedulerOptions): PlacementScheduler => {
 	const groupsOf = new Map<string, ServiceVersionGroups>();
 	/** Version groups that receive no new requests but still have queued or running ones. */
@@ -185,7 +197,15 @@
 				continue;
 			}
 
-			countOutcome({service, tier: effect.queue?.tier ?? 'in-time', outcome: effect.kind === 'reject' ? effect.reason : 'started'});
+			const outcome = effect.kind === 'reject' ? effect.reason : 'started';
+			const {request: {kind: route = '', prompt}, attempts} = effect;
+			countOutcome({service, tier: effect.queue?.tier ?? 'in-time', outcome});
+			if (prompt) {
+				countPrompt({
+					service, route, promptTokens: prompt.tokens, outcome, attempts,
+				});
+			}
+
 			const waiter = waiters.get(effect.request.requestId);
 			waiters.delete(effect.request.requestId);
 			if (effect.kind === 'reject') {
@@ -395,7 +415,7 @@
 			deliverWhenCurrent();
 		} else {
 			applyEffects(service, undefined, [{
-				kind: 'reject', request: placementRequest, reason: 'no-target', retryAfterMs: DEFAULT_LATENCY_MS, precedence: ORDINARY_PRECEDENCE, teamFigures: {team: placementRequest.team, usage: 0, shareUsage: Infinity},
+				kind: 'reject', request: placementRequest, reason: 'no-target', retryAfterMs: DEFAULT_LATENCY_MS, precedence: ORDINARY_PRECEDENCE, teamFigures: {team: placementRequest.team, usage: 0, shareUsage: Infinity}, attempts: 0,
 			}]);
 		}
 
--- a/src/runtime/routing/relay-call.ts
+++ b/src/runtime/routing/relay-call.ts
@@ -61,6 +61,8 @@
 	readonly inputAge: InputAge;
 	/** Called with the number of bytes read from targets. */
 	readonly onRead?: (bytes: number) => void;
+	/** Called with the bytes of a body that is sent to a target, or read from it. */
+	readonly onTraffic?: (target: string, direction: 'to' | 'from', bytes: number) => void;
 };
 
 /** State shared by the calls of one request. */
@@ -150,6 +152,7 @@
 			onWriting: () => {
 				const mayStart = this.#open && mayWrite();
 				if (mayStart) {
+					this.#options.onTraffic?.(grant.target, 'to', request.body?.length ?? 0);
 					this.#onWritten();
 				}
 
@@ -393,6 +396,7 @@
 
 	#onData(chunk: Uint8Array): void {
 		this.#options.onRead?.(chunk.length);
+		this.#options.onTraffic?.(this.#options.grant.target, 'from', chunk.length);
 		if (!this.#open) {
 			this.#size += chunk.length;
 			if (this.#size > MAX_DISCARDED_BYTES) {
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -22,6 +22,7 @@
 import {type Log} from '../observe/log.js';
 import {cpuMs, idleMs, startLoopDelay} from '../observe/loop-delay.js';
 import {createInputAge} from '../observe/input-age.js';
+import {createTrafficReport, sizeLabel} from '../observe/traffic-report.js';
 import {createIngressReport} from '../observe/ingress-report.js';
 import {createMemoryAccounts, type MemoryAccounts} from '../memory/memory-accounts.js';
 import {createYoungCollector} from '../memory/young-collector.js';
@@ -180,6 +181,7 @@
 	const ingressReport = createIngressReport({
 		log, metrics, admissionControl, refusals,
 	});
+	const trafficReport = createTrafficReport({log, metrics});
 	const pauseDetector = createPauseDetector(clock.nowMs());
 	const isCurrent = (): boolean => {
 		if (pauseDetector.hasJustPaused(clock.nowMs())) {
@@ -207,6 +209,11 @@
 		countOutcome(labels) {
 			metrics.queueOutcomes.inc(labels);
 		},
+		countPrompt({service, route, promptTokens, outcome, attempts}) {
+			const labels = {service, route, tokens: sizeLabel(promptTokens)};
+			metrics.promptOutcomes.inc({...labels, outcome});
+			metrics.reservationAttempts.inc(labels, attempts);
+		},
 		sendToPeer(peer, service, message) {
 			exchangeRef.current?.sendPeerMessage(peer, service, message);
 		},
@@ -229,6 +236,7 @@
 			rotation.update(admissionControl.refusedShare(), nowMs);
 			metrics.shedShare.set(loadShedder.refusedShare());
 			ingressReport.update(nowMs);
+			trafficReport.update(nowMs);
 		},
 		refusedShare: loadShedder.refusedShare,
 	});
@@ -241,6 +249,7 @@
 		leavingTargets: scheduler.leavingTargets, onLeavingTargets: scheduler.onLeavingTargets,
 		quarantine: quarantine.report, onQuarantine: quarantine.onReport,
 		onDatagram: inputAge.noteInput,
+		onSent: trafficReport.noteSent,
 		onFault(direction) {
 			metrics.exchangeFaults.inc({direction});
 		},
@@ -276,6 +285,9 @@
 		departure,
 		createCalls: createRelayCalls({
 			wire: targetWire, pool: address => pools.get(address), freshPool: pools.fresh, recentSends: createRecentSends(), clock, log, observe: scheduler.observe, onRead,
+			onTraffic(target, direction, bytes) {
+				trafficReport.noteTarget({direction, bytes, isOtherDataCentre: view.targets().get(target)?.dataCentre !== dataCentre});
+			},
 			lossWatch: scheduler.lossWatch, promptWatch: quarantine, inputAge,
 		}),
 	};
@@ -352,6 +364,7 @@
 		departure.endNotice();
 		await Promise.race([Promise.all(serverStops.map(async serverStop => serverStop.stop())), delay(Math.max(0, endByMs - clock.nowMs()))]);
 		ingressReport.flush(clock.nowMs());
+		trafficReport.flush();
 		log.info('stopped');
 		await source.stop();
 		rollout?.stop();
