--- /dev/null
+++ b/src/core/placement/line-encounters.ts
@@ -0,0 +1,26 @@
+/** Estimates how usual lines are at the targets of a service, from the replies to this VM's reservation requests. */
+
+/** Weight of one reply. */
+const REPLY_WEIGHT = 0.15;
+/** Share of the replies from which lines are usual: then another target hardly ever has capacity at once. */
+const USUAL_SHARE = 0.75;
+/** Milliseconds after the last reply for which the estimate is valid. */
+const VALID_MS = 1000;
+
+export type LineEncounters = {
+	readonly note: (hasLine: boolean, nowMs: number) => void;
+	readonly areUsual: (nowMs: number) => boolean;
+};
+
+export const createLineEncounters = (): LineEncounters => {
+	let share = 0;
+	let notedMs = -Infinity;
+	return {
+		note(hasLine, nowMs) {
+			const last = nowMs < notedMs + VALID_MS ? share : 0;
+			share = last + ((Number(hasLine) - last) * REPLY_WEIGHT);
+			notedMs = nowMs;
+		},
+		areUsual: nowMs => nowMs < notedMs + VALID_MS && share >= USUAL_SHARE,
+	};
+};
--- a/src/core/placement/messages.ts
+++ b/src/core/placement/messages.ts
@@ -3,7 +3,8 @@
 import {type RoutedService, type TargetRecord} from '../routing/types.js';
 import {type LoadFigures} from './target-view.js';
 import {type SentPrompt} from './prefix-cache-estimate.js';
-import {type LastDecline, type OutgoingMessage, type PeerMessage} from './reservations.js';
+import {type OutgoingMessage, type PeerMessage} from './peer-messages.js';
+import {type LastDecline} from './reservations.js';
 import {type QueueSnapshot} from './service-queue.js';
 import {type Precedence} from './start-limits.js';
 import {type UnavailableTargets} from './target-choice.js';
@@ -84,6 +85,4 @@
 	readonly copyFrom: TargetRecord | undefined;
 	/** Whether the request yielded to others: its team was beyond its share, it was late, or more urgent requests had to wait. */
 	readonly givesWay: boolean;
-	/** Whether its team was so far ahead of one that waits that it yielded to those that yield too. */
-	readonly isFarAhead: boolean;
 };
--- a/src/core/placement/reservations.ts
+++ b/src/core/placement/reservations.ts
@@ -1,15 +1,17 @@
 /**
- * Reservations of capacity at the model engines of a large fleet: those that this VM requests
- * and those that it grants. Before a VM sends a prompt, it requests a reservation from the
- * engine's owner, the VM that keeps its ledger. When the owner does not reply in time, this
- * VM places the request by its own figures.
+ * Reservations that this VM requests at the model engines of a large fleet. Before a VM sends a
+ * prompt, it requests a reservation from the engine's owner, the VM that keeps its ledger
+ * (`owned-targets.ts`). When the owner does not reply in time, this VM places the request by its
+ * own figures.
  */
+import {hash32} from '../membership/rendezvous.js';
 import {type RoutedService} from '../routing/types.js';
 import {type TargetView} from './target-view.js';
 import {type Candidate} from './target-choice.js';
-import {
-	MAX_AWAIT_MS, TargetLedger, type ReservationAnswer, type Reservation,
-} from './target-ledger.js';
+import {createLineEncounters} from './line-encounters.js';
+import {OwnedTargets} from './owned-targets.js';
+import {type OutgoingMessage, type PeerMessage} from './peer-messages.js';
+import {MAX_AWAIT_MS, type ReservationAnswer, type Reservation} from './target-ledger.js';
 import {type Precedence} from './start-limits.js';
 import {createTargetOwners, type TargetOwners} from './target-owners.js';
 import {type PlacementRequest} from './types.js';
@@ -26,6 +28,12 @@
 /** Bounds of that pause in milliseconds. */
 const MIN_PAUSE_MS = 25;
 const MAX_PAUSE_MS = 100;
+/** Milliseconds after the end of a request's time in line within which the owner's reply has to arrive. */
+const LINE_REPLY_MS = 60;
+/** Owners of targets with lines that may decline a request before it counts as late. Lines differ little while more is asked than the targets can do. */
+const MAX_MISSED_TURNS = 2;
+/** Milliseconds in which a predicted wait in line decays to nothing. */
+const LINE_WAIT_VALID_MS = 500;
 /** Milliseconds for which the cached tokens that an owner reported of a preferred target count as valid. */
 const COPYABLE_VALID_MS = 10_000;
 /** Most reservation requests that are remembered after their timeout, since their replies may still arrive. */
@@ -33,18 +41,6 @@
 /** Most prefixes of which the cached tokens at the preferred target are remembered. */
 const MAX_KNOWN_PREFIXES = 1000;
 
-/** Messages between VMs about reservations. */
-export type PeerMessage =
-	/** Requests a reservation from the owner of a target. */
-	| {readonly kind: 'request'; readonly wish: Reservation}
-	/** Grants or declines a reservation; `id` is the grant id. */
-	| {readonly kind: 'answer'; readonly id: string; readonly answer: ReservationAnswer}
-	/** Reports the first token or the end of a granted request to the owner. */
-	| {readonly kind: 'progress'; readonly id: string; readonly target: string; readonly hasEnded: boolean; readonly workPercent?: number};
-
-/** A message with the VM that it is sent to. */
-export type OutgoingMessage = {readonly vm: string; readonly message: PeerMessage};
-
 /** A request whose reservation is pending, or is granted and waits for the prefill of a shared prefix. */
 type Pending = {
 	readonly request: PlacementRequest;
@@ -54,6 +50,10 @@
 	readonly requestedMs: number;
 	/** Present once granted, while another request prefills a shared prefix of the prompt. */
 	readonly granted?: {readonly answer: ReservationAnswer; readonly startByMs: number};
+	/** Present while the request is in line at the owner: the time until which the owner's second reply has to arrive. */
+	readonly queuedUntilMs?: number;
+	readonly mayWait: boolean;
+	readonly precedence: Precedence;
 };
 
 /** A request whose reservation has timed out. */
@@ -69,13 +69,13 @@
 	| {readonly kind: 'declined'}
 	/** The owner is another VM, and `outgoing` is the request to it. */
 	| {readonly kind: 'asked'; readonly outgoing: OutgoingMessage}
-	/** Capacity is reserved; the request is sent once a shared prefix of its prompt is prefilled. */
+	/** The request is in line, or it is sent once a shared prefix of its prompt is prefilled. */
 	| {readonly kind: 'waits'}
 	/** All VMs that may own the target are unresponsive. */
 	| {readonly kind: 'unowned'};
 
 /** The last request that a target's owner declined. Until `untilMs`, the owner is assumed to decline all requests that need as much or more. */
-type Decline = {readonly untilMs: number; readonly newTokens: number} & Precedence;
+type Decline = {readonly untilMs: number; readonly newTokens: number} & Pick<Precedence, 'givesWay' | 'isLate'>;
 
 /** Reply of the owner that declined a request last, for the log. */
 export type LastDecline = Omit<ReservationAnswer, 'isGranted'> & {readonly newTokens: number};
@@ -92,26 +92,33 @@
 export class Reservations {
 	readonly #options: ReservationsOptions;
 	readonly #owners: TargetOwners;
-	readonly #ledgers = new Map<string, TargetLedger>();
+	readonly #owned: OwnedTargets;
+	/** Milliseconds by which owners with lines predicted a later first token than this VM, by target. */
+	readonly #lineWaits = new Map<string, {readonly ms: number; readonly atMs: number}>();
+	readonly #lineEncounters = createLineEncounters();
 	readonly #pending = new Map<string, Pending>();
 	/** Owners and targets of granted reservations, by grant id. */
 	readonly #ownersOfGrants = new Map<string, {readonly owner: string; readonly target: string}>();
 	/** Last declines, by target. */
 	readonly #declines = new Map<string, Decline>();
 	/** Last decline of each request and the end of the pause after it, by request id. */
-	readonly #requestDeclines = new Map<string, {readonly notBeforeMs: number; readonly last: LastDecline}>();
+	readonly #requestDeclines = new Map<string, {readonly notBeforeMs: number; readonly missedTurns: number; readonly last: LastDecline}>();
 	/** Number of reservations that were requested for each request that has not started, by request id. */
 	readonly #attempts = new Map<string, number>();
 	/** Times of the reservation requests whose replies are late, by grant id. */
 	readonly #lateReplies = new Map<string, number>();
-	/** VMs whose requests wait for the prefill of a shared prefix, by grant id. */
-	readonly #requesters = new Map<string, {readonly vm: string; readonly target: string}>();
 	/** Leading tokens of a prompt that can be copied from its preferred target, by the last of its `prefixKeys`. */
 	readonly #copyable = new Map<number, {readonly tokens: number; readonly atMs: number}>();
 
 	constructor(options: ReservationsOptions) {
 		this.#options = options;
 		this.#owners = createTargetOwners(options.vms);
+		this.#owned = new OwnedTargets(options);
+	}
+
+	/** Whether requests are in line for any target that this VM owns. */
+	get hasLines(): boolean {
+		return this.#owned.hasLines;
 	}
 
 	/** Whether any request has a pending reservation. */
@@ -120,9 +127,20 @@
 	}
 
 	/** Whether a target recently declined a request that needs as much as this one or less. */
-	hasDeclined(target: string, {newTokens, givesWay, isFarAhead}: Precedence & {readonly newTokens: number}, nowMs: number): boolean {
+	hasDeclined(target: string, {newTokens, givesWay, isLate}: Precedence & {readonly newTokens: number}, nowMs: number): boolean {
 		const decline = this.#declines.get(target);
-		return decline !== undefined && nowMs < decline.untilMs && newTokens >= decline.newTokens && (givesWay || !decline.givesWay) && (isFarAhead || !decline.isFarAhead);
+		return decline !== undefined && nowMs < decline.untilMs && newTokens >= decline.newTokens && (givesWay || !decline.givesWay) && (isLate || !decline.isLate);
+	}
+
+	/** Whether a request may be in line at an owner: another target was tried first, unless nearly all targets have a line. */
+	mayWait({requestId}: PlacementRequest, {isLate}: Precedence, nowMs: number): boolean {
+		return !isLate && ((this.#attempts.get(requestId) ?? 0) > 0 || this.#lineEncounters.areUsual(nowMs));
+	}
+
+	/** Returns the milliseconds by which the owner of a target with a line lately predicted a later first token than this VM. */
+	lineWaitMs(target: string, nowMs: number): number {
+		const wait = this.#lineWaits.get(target);
+		return wait ? Math.max(0, wait.ms * (1 - ((nowMs - wait.atMs) / LINE_WAIT_VALID_MS))) : 0;
 	}
 
 	/** Whether a request is still in the pause after a decline. */
@@ -130,6 +148,11 @@
 		return nowMs < (this.#requestDeclines.get(requestId)?.notBeforeMs ?? -Infinity);
 	}
 
+	/** Whether owners of several targets with lines have declined a request, so that it cannot be started in time. */
+	hasMissedTurns({requestId}: PlacementRequest): boolean {
+		return (this.#requestDeclines.get(requestId)?.missedTurns ?? 0) >= MAX_MISSED_TURNS;
+	}
+
 	/** Returns the milliseconds that the prefill of a request's own prompt takes, by the figures of the last decline; 0 if there is none. */
 	ownPrefillMs({requestId}: PlacementRequest): number {
 		const last = this.#requestDeclines.get(requestId)?.last;
@@ -156,26 +179,25 @@
 	}
 
 	/** Requests a reservation at the candidate's target; `id` is the id of the grant that it leads to. */
-	reserve(id: string, request: PlacementRequest, candidate: Candidate, nowMs: number): ReserveResult {
+	reserve(id: string, request: PlacementRequest, {candidate, precedence}: {readonly candidate: Candidate; readonly precedence: Precedence}, nowMs: number): ReserveResult {
 		const {target} = candidate;
 		const owner = this.#owners.ownerOf(target.record.id, nowMs);
 		if (owner === undefined || !request.prompt) {
 			return {kind: 'unowned'};
 		}
 
+		const mayWait = this.mayWait(request, precedence, nowMs);
 		this.#attempts.set(request.requestId, (this.#attempts.get(request.requestId) ?? 0) + 1);
-		const wish = this.#reservationOf(id, {...request, prompt: request.prompt}, candidate, nowMs);
+		const pending: Pending = {
+			request, candidate, owner, requestedMs: nowMs, mayWait, precedence,
+		};
+		const wish = this.#reservationOf(id, {...pending, prompt: request.prompt}, nowMs);
 		if (owner !== this.#options.vm) {
-			this.#pending.set(id, {
-				request, candidate, owner, requestedMs: nowMs,
-			});
+			this.#pending.set(id, pending);
 			return {kind: 'asked', outgoing: {vm: owner, message: {kind: 'request', wish}}};
 		}
 
-		const answer = this.#decide(owner, wish, nowMs);
-		return this.#applyReply(id, {
-			request, candidate, owner, requestedMs: nowMs,
-		}, answer, nowMs);
+		return this.#applyReply(id, pending, this.#owned.decide(owner, wish, nowMs), nowMs);
 	}
 
 	/** Handles an owner's reply. A grant that no request waits for any more is released. */
@@ -201,27 +223,23 @@
 	/** Replies to another VM's reservation request as the owner of the target; returns nothing for an unknown target. */
 	onRequest(from: string, reservation: Reservation, nowMs: number): OutgoingMessage | undefined {
 		return this.#options.targetOf(reservation.target)
-			? {vm: from, message: {kind: 'answer', id: reservation.id, answer: this.#decide(from, reservation, nowMs)}}
+			? {vm: from, message: {kind: 'answer', id: reservation.id, answer: this.#owned.decide(from, reservation, nowMs)}}
 			: undefined;
 	}
 
-	/** Handles the first token or the end of a granted request. Returns the replies to requests that waited for its prefill; replies to requests of this VM are included. */
-	onProgress({id, target, hasEnded, workPercent}: Extract<PeerMessage, {kind: 'progress'}>, nowMs: number): readonly OutgoingMessage[] {
-		const ledger = this.#ledgers.get(target);
-		this.#options.targetOf(target)?.noteWorkPercent(workPercent, nowMs);
-		if (hasEnded) {
-			this.#requesters.delete(id);
-			ledger?.noteEnded(id, nowMs);
-		} else {
-			ledger?.noteFirstToken(id, nowMs);
-		}
+	/** Handles the first token or the end of a request at a target that this VM owns; returns the replies that follow. */
+	onProgress(message: Extract<PeerMessage, {kind: 'progress'}>, nowMs: number): readonly OutgoingMessage[] {
+		return this.#owned.onProgress(message, nowMs);
+	}
 
-		return ledger ? this.#releaseMessages(ledger, nowMs) : [];
+	/** Starts the requests in line at this VM's targets that may start now; returns the replies that follow. */
+	serveLines(nowMs: number): readonly OutgoingMessage[] {
+		return this.#owned.serveLines(nowMs);
 	}
 
 	/** Removes and returns the requests whose reservations have timed out. */
 	takeTimedOut(nowMs: number): readonly Overdue[] {
-		const overdue = [...this.#pending].filter(([, {request, owner, requestedMs, granted}]) => nowMs >= (granted?.startByMs ?? requestedMs + this.#replyTimeoutMs(request, owner)));
+		const overdue = [...this.#pending].filter(([, {request, owner, requestedMs, granted, queuedUntilMs}]) => nowMs >= (granted?.startByMs ?? queuedUntilMs ?? requestedMs + this.#replyTimeoutMs(request, owner)));
 		return overdue.map(([id, pending]) => {
 			const {request, candidate, owner, granted} = pending;
 			this.#pending.delete(id);
@@ -275,18 +293,14 @@
 			return [{vm: reserved.owner, message}];
 		}
 
-		return this.onProgress(message, nowMs);
+		return this.#owned.onProgress(message, nowMs);
 	}
 
 	/** Removes the state of a target that is gone or whose cache is lost. */
 	forget(target: string): void {
-		this.#ledgers.delete(target);
+		this.#owned.forget(target);
+		this.#lineWaits.delete(target);
 		this.#declines.delete(target);
-		for (const [id, requester] of this.#requesters) {
-			if (requester.target === target) {
-				this.#requesters.delete(id);
-			}
-		}
 	}
 
 	#takeAttempts(requestId: string): number {
@@ -295,37 +309,14 @@
 		return attempts;
 	}
 
-	#reservationOf(id: string, request: PlacementRequest & {readonly prompt: NonNullable<PlacementRequest['prompt']>}, {target, keys, copiedTokens, figures}: Candidate, nowMs: number): Reservation {
-		const {prompt, targetLatencyMs, arrivedMs, isResumed} = request;
+	#reservationOf(id: string, {request, candidate, prompt, mayWait, precedence}: Pending & {readonly prompt: NonNullable<PlacementRequest['prompt']>}, nowMs: number): Reservation {
+		const {team, targetLatencyMs, arrivedMs, isResumed} = request;
+		const {target, keys, copiedTokens} = candidate;
 		return {
-			id, target: target.record.id, prompt, keys, copiedTokens, targetLatencyMs, waitedMs: nowMs - arrivedMs, givesWay: figures.givesWay, isFarAhead: figures.isFarAhead, isResumed,
+			id, target: target.record.id, prompt, keys, copiedTokens, targetLatencyMs, waitedMs: nowMs - arrivedMs, isResumed, teamKey: hash32(team), mayWait, ...precedence,
 		};
 	}
 
-	#decide(from: string, reservation: Reservation, nowMs: number): ReservationAnswer {
-		const {service, targetOf} = this.#options;
-		const target = targetOf(reservation.target);
-		const ledger = this.#ledgers.get(reservation.target)
-			?? new TargetLedger(reservation.target, {capacityTokens: () => service().engine?.kvCapacityTokens ?? 0, nowMs});
-		this.#ledgers.set(reservation.target, ledger);
-		const answer = ledger.reserve(reservation, {
-			service: service(), slots: target?.record.slots ?? 0, observedRunning: target ? target.running + target.othersRunning(nowMs) : 0, slowdown: target?.slowdown(nowMs) ?? 1, nowMs,
-		});
-		if (answer.startAfterMs > 0) {
-			this.#requesters.set(reservation.id, {vm: from, target: reservation.target});
-		}
-
-		return answer;
-	}
-
-	#releaseMessages(ledger: TargetLedger, nowMs: number): readonly OutgoingMessage[] {
-		return [...ledger.takeReleased(nowMs)].flatMap(([id, answer]) => {
-			const vm = this.#requesters.get(id)?.vm;
-			this.#requesters.delete(id);
-			return vm === undefined ? [] : [{vm, message: {kind: 'answer', id, answer}} as const];
-		});
-	}
-
 	#applyReply(id: string, pending: Pending, answer: ReservationAnswer, nowMs: number): ReserveResult {
 		const {request, candidate, owner} = pending;
 		const {target, keys, newTokens} = candidate;
@@ -333,6 +324,21 @@
 			this.#noteCopyable(keys, answer.keptTokens, nowMs);
 		}
 
+		if (!pending.precedence.isLate) {
+			this.#lineEncounters.note(answer.hasLine, nowMs);
+		}
+
+		if (answer.hasLine && !answer.isGranted) {
+			this.#lineWaits.set(target.record.id, {ms: Math.max(0, answer.predictedMs - candidate.figures.predictedMs), atMs: nowMs});
+		} else {
+			this.#lineWaits.delete(target.record.id);
+		}
+
+		if (answer.queuedMs > 0) {
+			this.#pending.set(id, {...pending, queuedUntilMs: nowMs + Math.min(answer.queuedMs, request.targetLatencyMs) + LINE_REPLY_MS});
+			return {kind: 'waits'};
+		}
+
 		if (answer.startAfterMs > 0) {
 			this.#pending.set(id, {...pending, granted: {answer, startByMs: nowMs + Math.min(MAX_AWAIT_MS, answer.startAfterMs)}});
 			return {kind: 'waits'};
@@ -343,11 +349,14 @@
 			return {kind: 'granted', candidate: withOwnerFigures(candidate, answer)};
 		}
 
+		const {givesWay, isLate} = pending.precedence;
 		this.#declines.set(target.record.id, {
-			untilMs: nowMs + answer.retryAfterMs, newTokens, givesWay: candidate.figures.givesWay, isFarAhead: candidate.figures.isFarAhead,
+			untilMs: nowMs + answer.retryAfterMs, newTokens, givesWay, isLate,
 		});
-		const pauseMs = Math.min(MAX_PAUSE_MS, Math.max(MIN_PAUSE_MS, request.targetLatencyMs * PAUSE_SHARE));
-		this.#requestDeclines.set(request.requestId, {notBeforeMs: nowMs + pauseMs, last: {...answer, newTokens}});
+		// The first decline sends the request to another target at once, where it may be put in line.
+		const pauseMs = pending.mayWait || isLate ? Math.min(MAX_PAUSE_MS, Math.max(MIN_PAUSE_MS, request.targetLatencyMs * PAUSE_SHARE)) : 0;
+		const missedTurns = (this.#requestDeclines.get(request.requestId)?.missedTurns ?? 0) + Number(pending.mayWait && answer.hasLine);
+		this.#requestDeclines.set(request.requestId, {notBeforeMs: nowMs + pauseMs, missedTurns, last: {...answer, newTokens}});
 		return {kind: 'declined'};
 	}
 
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -20,9 +20,8 @@
 	createPrefixCacheEstimate, sentPromptOf, type PrefixCacheEstimate, type SentPrompt,
 } from './prefix-cache-estimate.js';
 import {createPrefillRate, type PrefillRate} from './prefill-rate.js';
-import {
-	Reservations, type OutgoingMessage, type PeerMessage, type ReserveResult,
-} from './reservations.js';
+import {type OutgoingMessage, type PeerMessage} from './peer-messages.js';
+import {Reservations, type ReserveResult} from './reservations.js';
 import {createSentPrompts} from './sent-prompts.js';
 import {ServiceQueue, type QueueRejection, type Tier} from './service-queue.js';
 import {ORDINARY_PRECEDENCE, type Precedence} from './start-limits.js';
@@ -117,6 +116,11 @@
 		return {'in-time': this.#queue.sizeOf('in-time'), late: this.#queue.sizeOf('late')};
 	}
 
+	/** Whether requests are in line for a target that this VM owns. */
+	get hasLines(): boolean {
+		return this.#reservations.hasLines;
+	}
+
 	/** Returns the usage and demand of each team at this VM, and whether it has waiting requests, for the report to the other VMs. */
 	teamLoads(nowMs: number): readonly TeamLoad[] {
 		const sums = this.#shares.localSums(nowMs);
@@ -202,7 +206,8 @@
 
 	#onTick(nowMs: number): readonly PlacementEffect[] {
 		const overdue = this.#reservations.hasPending ? this.#placeOverdue(nowMs) : [];
-		return this.#queue.isEmpty ? overdue : [...overdue, ...this.#expire(nowMs), ...this.#dispatch(nowMs)];
+		const served = this.#reservations.hasLines ? this.#sendToOwners(this.#reservations.serveLines(nowMs), nowMs) : [];
+		return this.#queue.isEmpty ? [...overdue, ...served] : [...overdue, ...served, ...this.#expire(nowMs), ...this.#dispatch(nowMs)];
 	}
 
 	/** Starts a request at once if no queued request has precedence over it, else queues or rejects it. */
@@ -231,15 +236,11 @@
 		return refused ? [this.#reject(refused, ctx)] : [];
 	}
 
-	/**
-	 * Returns the precedence of a request. If all teams beyond their shares yielded alike, the one that
-	 * reaches most VMs and asks for most would get most of the capacity.
-	 */
 	#precedence(request: PlacementRequest, tier: Tier, nowMs: number): Precedence {
-		const isBeyondShare = this.#shares.isBeyondShare(request.team, nowMs);
 		return {
-			givesWay: isBeyondShare || this.#queue.givesWay(request, tier, nowMs),
-			isFarAhead: isBeyondShare && this.#usesReservations() && this.#shares.isFarAhead(request.team, nowMs),
+			givesWay: this.#shares.isBeyondShare(request.team, nowMs) || this.#queue.givesWay(request, tier, nowMs),
+			isLate: tier === 'late',
+			priority: this.#queue.priorityOf(request, nowMs),
 		};
 	}
 
@@ -252,7 +253,7 @@
 			}
 
 			const grantId = this.#options.createGrantId();
-			const result = ctx.needsReservation && request.prompt ? this.#reservations.reserve(grantId, request, candidate, ctx.nowMs) : undefined;
+			const result = ctx.needsReservation && request.prompt ? this.#reservations.reserve(grantId, request, {candidate, precedence}, ctx.nowMs) : undefined;
 			if (!result || (result.kind === 'unowned' && candidate.canStartInTime)) {
 				return [this.#grant(grantId, request, candidate, ctx.nowMs)];
 			}
@@ -327,11 +328,17 @@
 		const tier = this.#queue.tierOf(request, nowMs);
 		const mayStart = (tier === 'in-time' || this.#queue.isEmptyUpTo(tier)) && !this.#queue.isTooLate(request, nowMs);
 		const effects = mayStart ? this.#tryStart(request, this.#precedence(request, tier, nowMs), ctx) : undefined;
-		if (!effects) {
-			this.#queue.add(request, nowMs);
+		if (effects) {
+			return effects;
 		}
 
-		return effects ?? [];
+		if (tier === 'late' && this.#reservations.hasMissedTurns(request)) {
+			const refused = this.#queue.admit(request, nowMs);
+			return refused ? [this.#reject(refused, ctx)] : [];
+		}
+
+		this.#queue.add(request, nowMs);
+		return [];
 	}
 
 	/** Whether a target that was chosen some milliseconds ago may still get the request: it may have become unavailable, or got other requests meanwhile. */
@@ -422,6 +429,8 @@
 			isSampled: !isFullMesh,
 			// An overloaded VM learns enough of all targets from its own responses, and has no time for reservation requests.
 			needsReservation: this.#usesReservations() && !this.#options.isVmOverloaded(),
+			mayWait: (request, precedence) => this.#reservations.mayWait(request, precedence, nowMs),
+			lineWaitMs: target => this.#reservations.lineWaitMs(target.record.id, nowMs),
 			hasDeclined: (target, wish) => this.#reservations.hasDeclined(target.record.id, wish, nowMs),
 			copyableTokensOf: keys => this.#reservations.copyableTokens(keys, nowMs),
 			random,
@@ -524,6 +533,10 @@
 			return undefined;
 		}
 
+		if (this.#reservations.hasMissedTurns(request)) {
+			return 0;
+		}
+
 		if (this.#service.engine) {
 			return request.prompt && reservedInTimeShare(this.#reservations.ownPrefillMs(request), request);
 		}
--- a/src/core/placement/service-queue.ts
+++ b/src/core/placement/service-queue.ts
@@ -160,6 +160,11 @@
 		this.#kindStartRates.noteArrival(kind, nowMs);
 	}
 
+	/** Returns the priority of a request or a lane; that of a starved kind comes before all others. */
+	priorityOf(of: Pick<PlacementRequest, 'kind' | 'priority'>, nowMs: number): number {
+		return this.#kindStartRates.isStarved(of.kind ?? '', nowMs) ? STARVED_PRIORITY : priorityOf(of);
+	}
+
 	/** Whether a request yields to others: it is late, or more urgent ones had to wait recently and its kind is not starved. */
 	givesWay(request: PlacementRequest, tier: Tier, nowMs: number): boolean {
 		return tier === 'late' || (this.#urgency.givesWay(priorityOf(request), nowMs) && !this.#kindStartRates.isStarved(request.kind ?? '', nowMs));
@@ -240,7 +245,7 @@
 			}
 
 			startInOrder(queues.lanes(), {
-				priorityOf: ({kind, priority}) => this.#kindStartRates.isStarved(kind, nowMs) ? STARVED_PRIORITY : priority,
+				priorityOf: lane => this.priorityOf(lane, nowMs),
 				usageOf: team => usageOf(team, nowMs),
 				usageCeiling,
 				triesSmaller: isTiered(),
--- a/src/core/placement/start-limits.ts
+++ b/src/core/placement/start-limits.ts
@@ -1,6 +1,7 @@
 /** Decides whether a target has capacity for a request and can start it in time. */
 import {type RoutedService} from '../routing/types.js';
 import {type Load} from './fleet-loads.js';
+import {DEFAULT_PRIORITY} from './team-queues.js';
 import {type PlacementRequest} from './types.js';
 
 /** Shares of a target's capacity and of the latency target that a request may use. */
@@ -26,10 +27,6 @@
 const RESERVED: StartLimits = {startShare: 0.65, slotShare: 0.85, memoryShare: 0.5};
 /** Limits of requests that yield and that an exact ledger admits. */
 const RESERVED_YIELDING: StartLimits = {startShare: 0.4, slotShare: 0.5, memoryShare: 0.25};
-/** Limits of requests whose team is far ahead of one that waits. They use what the others leave, so that the engines are not idle. */
-const FAR_AHEAD: StartLimits = {startShare: 0.15, slotShare: 0.2, memoryShare: 0.08};
-/** Limits of such requests that an exact ledger admits. */
-const RESERVED_FAR_AHEAD: StartLimits = {startShare: 0.25, slotShare: 0.25, memoryShare: 0.12};
 /** Share of the latency target that the prefill ahead of a large prompt may take if that prompt would be late even without it. */
 const LARGE_PROMPT_BACKLOG_SHARE = 0.03;
 /** Requests that a plain target may have for each of its slots. Requests beyond its slots wait at the target. */
@@ -37,33 +34,31 @@
 /** Requests that a plain target may have for each of its slots where the new request yields. Such a request takes only a free slot and never waits at a target ahead of others. */
 const PLAIN_YIELDING_REQUESTS_PER_SLOT = 1;
 
-/** The precedence of a request, in three steps. */
+/** The precedence of a request. */
 export type Precedence = {
 	/** Whether the request yields to others: its team has received its share, or it is late or less urgent. */
 	readonly givesWay: boolean;
-	/** Whether its team has received so much more than a team that waits that it yields to those that yield too. */
-	readonly isFarAhead: boolean;
+	/** Whether its response can no longer be in time. */
+	readonly isLate: boolean;
+	/** Lower is more urgent; negative for kinds of requests that are starved. */
+	readonly priority: number;
 };
 
 /** The precedence of a request that yields to none. */
-export const ORDINARY_PRECEDENCE: Precedence = {givesWay: false, isFarAhead: false};
+export const ORDINARY_PRECEDENCE: Precedence = {givesWay: false, isLate: false, priority: DEFAULT_PRIORITY};
 
 /** Conditions that decide which limits apply to a request. */
-export type StartTerms = Precedence & {
+export type StartTerms = Pick<Precedence, 'givesWay'> & {
 	/** Whether all requests at the target are known, as they are to the owner of its ledger. */
 	readonly isExact: boolean;
 };
 
 /** Returns the limits of a request. A resumed request does not yield, since its caller has already received some of the response. */
-const limitsOf = ({isResumed}: Pick<PlacementRequest, 'isResumed'>, {givesWay, isFarAhead, isExact}: StartTerms): StartLimits => {
-	if (isResumed || !(givesWay || isFarAhead)) {
+const limitsOf = ({isResumed}: Pick<PlacementRequest, 'isResumed'>, {givesWay, isExact}: StartTerms): StartLimits => {
+	if (isResumed || !givesWay) {
 		return isExact ? RESERVED : ORDINARY;
 	}
 
-	if (isFarAhead) {
-		return isExact ? RESERVED_FAR_AHEAD : FAR_AHEAD;
-	}
-
 	return isExact ? RESERVED_YIELDING : YIELDING;
 };
 
--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -80,6 +80,10 @@
 	readonly averageHeldTokens: number;
 	/** Whether prompts need a reservation from the owner of their target. */
 	readonly needsReservation: boolean;
+	/** Whether a request may be put in line at a target's owner. */
+	readonly mayWait: (request: PlacementRequest, precedence: Precedence) => boolean;
+	/** Returns the milliseconds by which the owner of a target with a line lately predicted a later first token than this VM. */
+	readonly lineWaitMs: (target: TargetView) => number;
 	/** Whether a target recently declined a request that needs as much or less. */
 	readonly hasDeclined: (target: TargetView, needs: Precedence & {readonly newTokens: number}) => boolean;
 	/** Returns the leading tokens of a prompt that can be copied from its preferred target, as reported by the target's owner. */
@@ -149,7 +153,7 @@
 	const pace = ctx.isSampled ? 1 : target.prefillPace.factor(nowMs);
 	const predictedMs = averageMs * pace;
 	const ownPrefillMs = slowedMs(newTokens / tokensPerMs, slowdown) * pace;
-	const terms = {...precedence, isExact: false};
+	const terms = {givesWay: precedence.givesWay, isExact: false};
 	const waitedMs = nowMs - request.arrivedMs;
 	return {
 		target,
@@ -170,7 +174,7 @@
 			heartbeatAgeMs: nowMs - target.lastHeartbeatMs,
 			waitedMs,
 			copyFrom: source?.record,
-			...precedence,
+			givesWay: precedence.givesWay,
 		},
 	};
 };
@@ -224,7 +228,7 @@
 export const countUnavailable = (request: PlacementRequest, precedence: Precedence, ctx: ChoiceContext): UnavailableTargets => {
 	const eligible = eligibleTargets(request, ctx);
 	const withColdCapacity = eligible.filter(target => ctx.hasColdCapacity(target));
-	const withCapacity = withColdCapacity.filter(target => hasCapacity(request, occupancyOf(target, othersAt(target, ctx)), {service: ctx.service, ...precedence, isExact: false}));
+	const withCapacity = withColdCapacity.filter(target => hasCapacity(request, occupancyOf(target, othersAt(target, ctx)), {service: ctx.service, givesWay: precedence.givesWay, isExact: false}));
 	return {
 		targets: ctx.targets.length,
 		passedOver: ctx.targets.length - eligible.length,
@@ -284,7 +288,9 @@
 	const sharedTokens = request.prompt?.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0) ?? 0;
 	const holder = ctx.isSampled ? assumedPrefixHolder(keys, ctx.needsReservation ? ctx.copyableTokensOf(keys) : sharedTokens, ctx) : request.prompt && findPrefixHolder(request.prompt, keys, ctx);
 	const isReserved = ctx.needsReservation && request.prompt !== undefined;
+	const mayWait = isReserved && ctx.mayWait(request, precedence);
 	let best: Candidate | undefined;
+	let bestPrice = Infinity;
 	for (const target of shortlist(request, keys, {...precedence, newTokens: request.prompt?.tokens ?? 0}, ctx)) {
 		if (!ctx.hasColdCapacity(target)) {
 			continue;
@@ -294,8 +300,14 @@
 			request, keys, sharedTokens, holder, others: othersAt(target, ctx), precedence,
 		}, ctx);
 		const isOpen = isReserved ? !ctx.hasDeclined(target, {newTokens: candidate.newTokens, ...precedence}) : candidate.canStartInTime;
-		if (isOpen && (!best || candidate.price < best.price)) {
+		if (!isOpen && !mayWait) {
+			continue;
+		}
+
+		const price = candidate.price + (mayWait ? ctx.lineWaitMs(target) : 0);
+		if (price < bestPrice) {
 			best = candidate;
+			bestPrice = price;
 		}
 	}
 
--- a/src/core/placement/target-ledger.ts
+++ b/src/core/placement/target-ledger.ts
@@ -16,7 +16,10 @@
 import {type RoutedService} from '../routing/types.js';
 import {createPrefixCacheEstimate, sentPromptOf, type PrefixCacheEstimate} from './prefix-cache-estimate.js';
 import {ALL_PROMPTS_KNOWN, createPrefillRate, type PrefillRate} from './prefill-rate.js';
-import {hasCapacity, startsInTime, type StartPrediction} from './start-limits.js';
+import {startWithinMs} from './reservation-line.js';
+import {
+	hasCapacity, startsInTime, type Precedence, type StartPrediction,
+} from './start-limits.js';
 import {slowedMs} from './target-speed.js';
 
 /** Milliseconds after its admission for which a request counts when its end is not reported: longer than a latency target and the longest stream. */
@@ -41,6 +44,11 @@
 /** Share of the latency target within which a prompt that waits for a prefix has to start. Other prompts are prefilled before it only if that remains possible. The rest of the latency target is for network latency. */
 const AWAITED_START_SHARE = 0.8;
 
+/** Milliseconds of prefill that an engine of a contended target has ahead when it is given the next prompt: what it prefills until the report of a first token has reached the owner and the next prompt has reached the engine. */
+export const CONTENDED_BACKLOG_MS = 80;
+/** Milliseconds past its predicted first token after which a prompt at a contended engine is no longer taken to be in prefill. */
+const MAX_OVERDUE_MS = 600;
+
 /** Tokens per millisecond that an engine is assumed to prefill before the first sample. A few samples correct it. */
 const INITIAL_TOKENS_PER_MS = 40;
 
@@ -56,11 +64,12 @@
 	readonly copiedTokens: number;
 	readonly targetLatencyMs: number;
 	readonly waitedMs: number;
-	readonly givesWay: boolean;
-	/** Whether the request's team is far ahead of one that waits. */
-	readonly isFarAhead: boolean;
 	readonly isResumed: boolean;
-};
+	/** Hash of the team's name; 0 if the requesting VM does not send it. */
+	readonly teamKey: number;
+	/** Whether the request may be put in line until the target has capacity for it. */
+	readonly mayWait: boolean;
+} & Precedence;
 
 /** An owner's reply to a reservation request, with the figures on which the decision is based. */
 export type ReservationAnswer = {
@@ -72,6 +81,10 @@
 	readonly retryAfterMs: number;
 	/** When granted: milliseconds after which the requesting VM sends the request at the latest. More than 0 while a shared prefix is being prefilled; once it is prefilled, the owner sends a second reply with 0. */
 	readonly startAfterMs: number;
+	/** When not granted: milliseconds for which the request is in line at the most, within which a second reply follows; 0 when declined. */
+	readonly queuedMs: number;
+	/** Whether requests are in line for the target, or were a moment ago. */
+	readonly hasLine: boolean;
 	/** Requests at the target. */
 	readonly running: number;
 	/** Prompt tokens that the target has not prefilled yet, including those of this request when it is granted. */
@@ -96,6 +109,8 @@
 	readonly sinceMs: number;
 	/** Whether the prompt is not prefilled yet. */
 	readonly isReading: boolean;
+	/** Whether the first token did not come in time, so that the prompt is no longer taken to be in prefill. */
+	readonly isOverdue: boolean;
 };
 
 export type LedgerContext = {
@@ -106,9 +121,37 @@
 	readonly observedRunning: number;
 	/** Time that work takes at the target now, as a multiple of the typical time. */
 	readonly slowdown: number;
+	/** Whether requests are in line for the target. Its backlog is kept short then, since it prefills in order of arrival. */
+	readonly isContended: boolean;
+	/** Whether the request may start if it fits; false while others come before it. */
+	readonly mayStart: boolean;
 	readonly nowMs: number;
 };
 
+/** Whether an engine can take a request now, and if not, why: it lacks slots or memory, it has prompts to prefill first, or the request would start too late. */
+type Fit = 'fits' | 'no-capacity' | 'backlog' | 'too-late';
+
+type Assessment = {
+	readonly fit: Fit;
+	readonly cachedTokens: number;
+	readonly newTokens: number;
+	/** Request that prefills a shared prefix of this one. */
+	readonly prefix: {readonly id: string; readonly tokens: number} | undefined;
+	readonly prediction: StartPrediction;
+	/** Predicted milliseconds of prefill ahead of the request. */
+	readonly aheadMs: number;
+	readonly tokensPerMs: number;
+	readonly running: number;
+};
+
+/** The decision on a reservation request, with the predicted milliseconds of prefill ahead of it and of its own prompt. */
+export type LedgerDecision = {readonly answer: ReservationAnswer} & Pick<Assessment, 'fit' | 'aheadMs' | 'tokensPerMs'> & Pick<StartPrediction, 'ownPrefillMs'>;
+
+/** What is known of the prompt that an engine prefills. */
+type PrefillProgress = {readonly id: string | undefined; readonly tokens: number; readonly overdueMs: number};
+
+const NO_PROGRESS: PrefillProgress = {id: undefined, tokens: 0, overdueMs: 0};
+
 export class TargetLedger {
 	readonly #entries = new Map<string, Entry>();
 	readonly #prefixCache: PrefixCacheEstimate;
@@ -117,6 +160,8 @@
 	readonly #createdMs: number;
 	#readingTokens = 0;
 	#heldTokens = 0;
+	/** Time of the last first token. */
+	#firstTokenMs = -Infinity;
 	#released: string[] = [];
 
 	constructor(target: string, {capacityTokens, nowMs}: {readonly capacityTokens: () => number; readonly nowMs: number}) {
@@ -132,38 +177,32 @@
 	}
 
 	/** Admits a request if the engine has capacity for it and can start it in time. */
-	reserve(reservation: Reservation, ctx: LedgerContext): ReservationAnswer {
-		const {prompt, keys, nowMs} = {...reservation, ...ctx};
+	reserve(reservation: Reservation, ctx: LedgerContext): LedgerDecision {
+		const {nowMs} = ctx;
 		this.#expire(nowMs);
-		const cachedTokens = this.#prefixCache.keptTokens(this.#target, prompt, keys, nowMs);
-		const availableTokens = Math.max(cachedTokens, reservation.copiedTokens);
-		const prefix = this.#prefixInPrefill(reservation, availableTokens);
-		const newTokens = Math.max(0, prompt.tokens - (prefix?.tokens ?? availableTokens));
-		const tokensPerMs = this.#prefillRate.tokensPerMs();
-		// Prompts that wait for a prefix have not been sent, and are prefilled after one that is sent now.
-		const aheadTokens = this.#readingTokens - (prefix ? 0 : this.#waitingTokens());
-		const prediction: StartPrediction = {
-			waitedMs: reservation.waitedMs,
-			predictedMs: slowedMs((aheadTokens + newTokens) / tokensPerMs, ctx.slowdown) + ALL_PROMPTS_KNOWN.overheadMs,
-			ownPrefillMs: slowedMs(newTokens / tokensPerMs, ctx.slowdown),
-		};
-		const load = {running: this.#knownRunning(ctx), readingTokens: this.#readingTokens, heldTokens: this.#heldTokens};
-		const terms = {givesWay: reservation.givesWay, isFarAhead: reservation.isFarAhead, isExact: true};
-		const isGranted = hasCapacity(reservation, {slots: ctx.slots, load}, {service: ctx.service, ...terms}) && startsInTime(reservation, prediction, terms)
-			&& (prefix !== undefined || ((this.#readingTokens + newTokens) / tokensPerMs) + ALL_PROMPTS_KNOWN.overheadMs <= this.#slackOfWaitingMs(nowMs));
+		const {fit, cachedTokens, newTokens, prefix, prediction, aheadMs, tokensPerMs, running} = this.#assess(reservation, ctx);
+		const isGranted = ctx.mayStart && fit === 'fits';
 		if (isGranted) {
 			this.#add(reservation, {newTokens, waitsFor: prefix?.id}, nowMs);
 		}
 
 		return {
-			target: this.#target,
-			isGranted,
-			keptTokens: cachedTokens,
-			retryAfterMs: isGranted ? 0 : this.#retryAfterMs(reservation, prediction, tokensPerMs),
-			startAfterMs: isGranted && prefix ? this.#startAfterMs(prefix.id, nowMs) : 0,
-			running: load.running,
-			readingTokens: this.#readingTokens,
-			predictedMs: prediction.predictedMs,
+			fit,
+			aheadMs,
+			tokensPerMs,
+			ownPrefillMs: prediction.ownPrefillMs,
+			answer: {
+				target: this.#target,
+				isGranted,
+				keptTokens: cachedTokens,
+				retryAfterMs: isGranted ? 0 : this.#retryAfterMs(reservation, prediction, tokensPerMs),
+				startAfterMs: isGranted && prefix ? this.#startAfterMs(prefix.id, nowMs) : 0,
+				queuedMs: 0,
+				hasLine: ctx.isContended,
+				running,
+				readingTokens: this.#readingTokens,
+				predictedMs: prediction.predictedMs,
+			},
 		};
 	}
 
@@ -180,10 +219,18 @@
 	/** Records the first token of a request: its prompt is prefilled, and counts as cached from now on. */
 	noteFirstToken(id: string, nowMs: number): void {
 		const entry = this.#entries.get(id);
-		if (entry?.isReading) {
+		if (entry && (entry.isReading || entry.isOverdue)) {
 			this.#prefixCache.noteSent(sentPromptOf(this.#target, entry.reservation.prompt, entry.keys), nowMs);
+		}
+
+		if (entry?.isOverdue) {
+			this.#entries.set(id, {...entry, isOverdue: false});
+		}
+
+		if (entry?.isReading) {
 			this.#readingTokens -= entry.newTokens;
 			this.#entries.set(id, {...entry, isReading: false});
+			this.#firstTokenMs = nowMs;
 			this.#prefillRate.note(entry.backlogTokens, nowMs - entry.sinceMs);
 			this.#release(id, nowMs);
 		}
@@ -203,6 +250,83 @@
 		}
 	}
 
+	#assess(reservation: Reservation, ctx: LedgerContext): Assessment {
+		const {prompt, keys, waitedMs, nowMs, slowdown, isContended} = {...reservation, ...ctx};
+		const cachedTokens = this.#prefixCache.keptTokens(this.#target, prompt, keys, nowMs);
+		const availableTokens = Math.max(cachedTokens, reservation.copiedTokens);
+		const prefix = this.#prefixInPrefill(reservation, availableTokens);
+		const newTokens = Math.max(0, prompt.tokens - (prefix?.tokens ?? availableTokens));
+		const tokensPerMs = this.#prefillRate.tokensPerMs();
+		// Prompts that wait for a prefix have not been sent, and are prefilled after one that is sent now.
+		const progress = isContended ? this.#presentProgress(tokensPerMs / slowdown, nowMs) : NO_PROGRESS;
+		const aheadTokens = Math.max(0, this.#readingTokens - progress.tokens - (prefix ? 0 : this.#waitingTokens()));
+		// An engine whose first token is overdue is assumed to take as long again.
+		const aheadMs = slowedMs(aheadTokens / tokensPerMs, slowdown) + progress.overdueMs;
+		const ownPrefillMs = slowedMs(newTokens / tokensPerMs, slowdown);
+		const prediction: StartPrediction = {
+			waitedMs,
+			predictedMs: slowedMs((aheadTokens + newTokens) / tokensPerMs, slowdown) + progress.overdueMs + ALL_PROMPTS_KNOWN.overheadMs,
+			ownPrefillMs,
+		};
+		const load = {running: this.#knownRunning(ctx), readingTokens: this.#readingTokens, heldTokens: this.#heldTokens};
+		const terms = {givesWay: reservation.givesWay, isExact: true};
+		const delaysWaiting = prefix === undefined && ((this.#readingTokens + newTokens) / tokensPerMs) + ALL_PROMPTS_KNOWN.overheadMs > this.#slackOfWaitingMs(nowMs);
+		const fitOf = (): Fit => {
+			if (!hasCapacity(reservation, {slots: ctx.slots, load}, {service: ctx.service, ...terms})) {
+				return 'no-capacity';
+			}
+
+			if (delaysWaiting) {
+				return 'backlog';
+			}
+
+			if (!isContended) {
+				return startsInTime(reservation, prediction, terms) ? 'fits' : 'backlog';
+			}
+
+			if (aheadMs > CONTENDED_BACKLOG_MS) {
+				return 'backlog';
+			}
+
+			const isInTime = reservation.isResumed || waitedMs + aheadMs <= startWithinMs(reservation, ownPrefillMs);
+			return isInTime ? 'fits' : 'too-late';
+		};
+
+		return {
+			fit: fitOf(), cachedTokens, newTokens, prefix, prediction, aheadMs, tokensPerMs, running: load.running,
+		};
+	}
+
+	/** Like `#prefillProgress`, after prompts that are long overdue have been passed over. Such a prompt was never sent, since its VM has died, or its engine has stopped, which the next prompt shows. */
+	#presentProgress(tokensPerMs: number, nowMs: number): PrefillProgress {
+		for (;;) {
+			const progress = this.#prefillProgress(tokensPerMs, nowMs);
+			const entry = progress.overdueMs > MAX_OVERDUE_MS && progress.id !== undefined ? this.#entries.get(progress.id) : undefined;
+			if (!entry || progress.id === undefined) {
+				return progress;
+			}
+
+			this.#readingTokens -= entry.newTokens;
+			this.#entries.set(progress.id, {...entry, isReading: false, isOverdue: true});
+			this.#firstTokenMs = nowMs;
+			this.#release(progress.id, nowMs);
+		}
+	}
+
+	/** Estimates how much of the prompt in prefill the engine has prefilled by now, and by how long its first token is overdue. */
+	#prefillProgress(tokensPerMs: number, nowMs: number): PrefillProgress {
+		for (const [id, {isReading, waitsFor, newTokens, sinceMs}] of this.#entries) {
+			if (isReading && waitsFor === undefined) {
+				// Half of the overhead is the way of the prompt to the engine, half that of the first token to this VM.
+				const startedMs = Math.max(sinceMs + (ALL_PROMPTS_KNOWN.overheadMs / 2), this.#firstTokenMs - (ALL_PROMPTS_KNOWN.overheadMs / 2));
+				const elapsedMs = Math.max(0, nowMs - startedMs);
+				return {id, tokens: Math.min(newTokens, elapsedMs * tokensPerMs), overdueMs: Math.max(0, elapsedMs - (newTokens / tokensPerMs) - ALL_PROMPTS_KNOWN.overheadMs)};
+			}
+		}
+
+		return NO_PROGRESS;
+	}
+
 	/** Finds the request that is prefilling the longest prefix of a prompt, and the tokens of that prefix. The prefix has to exceed the available tokens by enough to wait for it. */
 	#prefixInPrefill({id: ownId, prompt: {parts}, keys}: Reservation, availableTokens: number): {readonly id: string; readonly tokens: number} | undefined {
 		let best: {readonly id: string; readonly tokens: number} | undefined;
@@ -288,6 +412,8 @@
 			keptTokens: this.#prefixCache.keptTokens(this.#target, reservation.prompt, keys, nowMs),
 			retryAfterMs: 0,
 			startAfterMs: 0,
+			queuedMs: 0,
+			hasLine: false,
 			running: this.running,
 			readingTokens: this.#readingTokens,
 			predictedMs: (Math.max(newTokens, backlogTokens) / this.#prefillRate.tokensPerMs()) + ALL_PROMPTS_KNOWN.overheadMs,
@@ -315,6 +441,7 @@
 			backlogTokens: this.#readingTokens - this.#waitingTokens(),
 			sinceMs: nowMs,
 			isReading: true,
+			isOverdue: false,
 		});
 	}
 
--- a/src/core/placement/team-shares.ts
+++ b/src/core/placement/team-shares.ts
@@ -13,7 +13,7 @@
 const LEAD_REQUESTS = 2;
 /** Multiple of its fair share that a team may use before its requests yield, since late responses are worth less. */
 const SHARE_MARGIN = 1.15;
-/** Milliseconds for which a computed share, or usage of a team far ahead, is valid; reports of other VMs arrive about as often. */
+/** Milliseconds for which a computed share is valid; reports of other VMs arrive about as often. */
 const SHARE_VALID_MS = 50;
 /** Weight of one request in the average cost. */
 const AVERAGE_WEIGHT = 0.05;
@@ -32,8 +32,6 @@
 	readonly #demand = createDecayingSums();
 	#averageCost = 0;
 	#share = {usage: Infinity, untilMs: -Infinity};
-	/** Usage beyond which a team is far ahead of one that waits. */
-	#farAhead = {usage: Infinity, untilMs: -Infinity};
 
 	constructor(options: TeamSharesOptions) {
 		this.#options = options;
@@ -72,15 +70,6 @@
 		return this.usageOf(team, nowMs) > this.shareUsage(nowMs);
 	}
 
-	/** Whether the usage of a team is so far above that of a team that waits at another VM that it yields to all others. */
-	isFarAhead(team: string, nowMs: number): boolean {
-		if (nowMs >= this.#farAhead.untilMs) {
-			this.#farAhead = {usage: this.usageCeiling(nowMs), untilMs: nowMs + SHARE_VALID_MS};
-		}
-
-		return this.usageOf(team, nowMs) > this.#farAhead.usage;
-	}
-
 	/** Returns the usage beyond which the requests of a team yield. */
 	shareUsage(nowMs: number): number {
 		if (nowMs >= this.#share.untilMs) {
--- a/src/runtime/routing/load-exchange.ts
+++ b/src/runtime/routing/load-exchange.ts
@@ -18,7 +18,7 @@
 	LoadReportSchema, PeerDatagramSchema, QuarantineNotesSchema, type QuarantineNotes,
 } from '../../gen/jackdawwood/v1/exchange_pb.js';
 import {hash32} from '../../core/membership/rendezvous.js';
-import {type PeerMessage} from '../../core/placement/reservations.js';
+import {type PeerMessage} from '../../core/placement/peer-messages.js';
 import {type PeerTraffic} from '../observe/traffic-report.js';
 import {type StoreFreshness} from '../../core/store-watch/types.js';
 import {type Log} from '../observe/log.js';
--- a/src/runtime/routing/placement-fields.ts
+++ b/src/runtime/routing/placement-fields.ts
@@ -35,7 +35,6 @@
 	service,
 	reason: effect.reason,
 	gives_way: effect.precedence.givesWay,
-	far_ahead: effect.precedence.isFarAhead,
 	...teamFields(effect.teamFigures),
 	...(effect.unavailable && {
 		targets: effect.unavailable.targets,
@@ -65,7 +64,6 @@
 		others: details.othersRunning,
 		cold: details.isCold,
 		gives_way: details.givesWay,
-		far_ahead: details.isFarAhead,
 		...teamFields(teamFigures),
 		...queueFields(queue),
 		heartbeat_age_ms: Math.round(details.heartbeatAgeMs),
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -14,7 +14,7 @@
 import {planExchange} from '../../core/placement/exchange-plan.js';
 import {type FleetLoads, type TargetLoad, type TeamLoad} from '../../core/placement/fleet-loads.js';
 import {type SentPrompt} from '../../core/placement/prefix-cache-estimate.js';
-import {type PeerMessage} from '../../core/placement/reservations.js';
+import {type PeerMessage} from '../../core/placement/peer-messages.js';
 import {type Tier} from '../../core/placement/service-queue.js';
 import {ServicePlacement} from '../../core/placement/service-placement.js';
 import {ORDINARY_PRECEDENCE} from '../../core/placement/start-limits.js';
@@ -249,8 +249,19 @@
 
 	const groupOfId = (id: string): VersionGroup | undefined => groupOfTarget.get(id);
 
+	/** Whether requests of any VM are in line for a target that this VM owns. */
+	const hasLines = (): boolean => {
+		for (const {main, next} of groupsOf.values()) {
+			if (main.placement.hasLines || next?.placement.hasLines) {
+				return true;
+			}
+		}
+
+		return false;
+	};
+
 	function armTimer(): void {
-		if (timer === undefined && waiters.size > 0) {
+		if (timer === undefined && (waiters.size > 0 || hasLines())) {
 			timer = setTimeout(() => {
 				timer = undefined;
 				deliverToAll({kind: 'tick'});
--- a/src/runtime/routing/reservation-messages.ts
+++ b/src/runtime/routing/reservation-messages.ts
@@ -1,14 +1,14 @@
 /** Encodes and decodes the reservation messages in datagrams between VMs. */
 import {type MessageInitShape} from '@bufbuild/protobuf';
 import {type ReservationAnswer, type Reservation} from '../../core/placement/target-ledger.js';
-import {type PeerMessage} from '../../core/placement/reservations.js';
+import {type PeerMessage} from '../../core/placement/peer-messages.js';
 import {type PeerDatagram, type PeerDatagramSchema, type ReservationRequest} from '../../gen/jackdawwood/v1/exchange_pb.js';
 
 /** A message with the service that it concerns. */
 export type ServiceMessage = {readonly service: string; readonly message: PeerMessage};
 
-const encodeRequest = (service: string, {id, target, prompt, keys, copiedTokens, targetLatencyMs, waitedMs, givesWay, isFarAhead, isResumed}: Reservation) => ({
-	id, service, target, keys: [...keys], givesWay, isFarAhead, isResumed,
+const encodeRequest = (service: string, {id, target, prompt, keys, copiedTokens, targetLatencyMs, waitedMs, ...rest}: Reservation) => ({
+	...rest, id, service, target, keys: [...keys],
 	partTokens: prompt.parts.slice(0, keys.length).map(({tokens}) => Math.round(tokens)),
 	promptTokens: Math.round(prompt.tokens),
 	outputTokens: Math.round(prompt.outputTokens),
@@ -17,8 +17,8 @@
 	waitedMs: Math.max(0, Math.round(waitedMs)),
 });
 
-const decodeRequest = ({id, target, keys, partTokens, promptTokens, outputTokens, copiedTokens, latencyTargetMs, waitedMs, givesWay, isFarAhead, isResumed}: ReservationRequest): Reservation => ({
-	id, target, keys, copiedTokens, targetLatencyMs: latencyTargetMs, waitedMs, givesWay, isFarAhead, isResumed,
+const decodeRequest = ({id, target, keys, partTokens, promptTokens, outputTokens, copiedTokens, latencyTargetMs, waitedMs, givesWay, isResumed, teamKey, priority, mayWait, isLate}: ReservationRequest): Reservation => ({
+	id, target, keys, copiedTokens, targetLatencyMs: latencyTargetMs, waitedMs, givesWay, isResumed, teamKey, priority, mayWait, isLate,
 	// The keys are hashes that identify the prompt parts, so the parts' ids are not sent.
 	prompt: {
 		model: '', parts: partTokens.map(tokens => ({id: '', tokens})), tokens: promptTokens, outputTokens,
@@ -32,6 +32,7 @@
 	keptTokens: Math.round(answer.keptTokens),
 	retryAfterMs: Math.ceil(answer.retryAfterMs),
 	startAfterMs: Math.ceil(answer.startAfterMs),
+	queuedMs: Math.ceil(answer.queuedMs),
 	readingTokens: Math.max(0, Math.round(answer.readingTokens)),
 	predictedMs: Math.round(answer.predictedMs),
 });
--- a/test/placement/queue-order.test.ts
+++ b/test/placement/queue-order.test.ts
@@ -104,7 +104,7 @@
 	const effects = placement.handle({
 		kind: 'peer', from: pendingReservation?.vm ?? '', message: {
 			kind: 'answer', id: pendingReservation?.id ?? '', answer: {
-				target: 't1', isGranted: true, keptTokens: 0, retryAfterMs: 0, running: 0, readingTokens: 0, predictedMs: 10, startAfterMs: 0,
+				target: 't1', isGranted: true, keptTokens: 0, retryAfterMs: 0, running: 0, readingTokens: 0, predictedMs: 10, startAfterMs: 0, queuedMs: 0, hasLine: false,
 			},
 		},
 	}, 5000);
@@ -124,7 +124,7 @@
 				decline(placement.handle({
 					kind: 'peer', from: effect.vm, message: {
 						kind: 'answer', id: effect.message.wish.id, answer: {
-							target: 't1', isGranted: false, keptTokens: 0, retryAfterMs: 15, running: 20, readingTokens: 50_000, predictedMs: 900, startAfterMs: 0,
+							target: 't1', isGranted: false, keptTokens: 0, retryAfterMs: 15, running: 20, readingTokens: 50_000, predictedMs: 900, startAfterMs: 0, queuedMs: 0, hasLine: false,
 						},
 					},
 				}, nowMs), nowMs);
--- a/test/placement/reservations.test.ts
+++ b/test/placement/reservations.test.ts
@@ -1,9 +1,12 @@
 import test from 'ava';
 import {type PlacementEffect} from '../../src/core/placement/messages.js';
-import {type PeerMessage} from '../../src/core/placement/reservations.js';
+import {type PeerMessage} from '../../src/core/placement/peer-messages.js';
 import {type ServicePlacement} from '../../src/core/placement/service-placement.js';
-import {TargetLedger, type LedgerContext, type Reservation} from '../../src/core/placement/target-ledger.js';
+import {
+	TargetLedger, type LedgerContext, type Reservation, type ReservationAnswer,
+} from '../../src/core/placement/target-ledger.js';
 import {prefixKeys} from '../../src/core/placement/prefix-cache-estimate.js';
+import {ORDINARY_PRECEDENCE} from '../../src/core/placement/start-limits.js';
 import {createTargetOwners} from '../../src/core/placement/target-owners.js';
 import {runFleet, type FleetLoad} from './_fleet-model.js';
 import {
@@ -18,46 +21,48 @@
 const reservation = (id: string, tokens: number, changes: Partial<Reservation> = {}): Reservation => {
 	const wantedPrompt = prompt(id, tokens);
 	return {
-		id, target: 't1', prompt: wantedPrompt, keys: prefixKeys(wantedPrompt), copiedTokens: 0, targetLatencyMs: 800, waitedMs: 0, givesWay: false, isFarAhead: false, isResumed: false, ...changes,
+		id, target: 't1', prompt: wantedPrompt, keys: prefixKeys(wantedPrompt), copiedTokens: 0, targetLatencyMs: 800, waitedMs: 0, isResumed: false, teamKey: 1, mayWait: false, ...ORDINARY_PRECEDENCE, ...changes,
 	};
 };
 
 const ctx = (nowMs: number, changes: Partial<LedgerContext> = {}): LedgerContext => ({
-	service: modelService, slots: 64, observedRunning: 0, slowdown: 1, nowMs, ...changes,
+	service: modelService, slots: 64, observedRunning: 0, slowdown: 1, isContended: false, mayStart: true, nowMs, ...changes,
 });
 
+const reserve = (ledger: TargetLedger, wish: Reservation, context: LedgerContext): ReservationAnswer => ledger.reserve(wish, context).answer;
+
 test('a ledger admits what the engine can prefill in time, and returns when to retry the next request', t => {
 	const ledger = createLedger();
-	t.true(ledger.reserve(reservation('a', 15_000), ctx(0)).isGranted);
-	const declined = ledger.reserve(reservation('b', 17_000), ctx(1));
+	t.true(reserve(ledger, reservation('a', 15_000), ctx(0)).isGranted);
+	const declined = reserve(ledger, reservation('b', 17_000), ctx(1));
 	t.false(declined.isGranted);
 	t.true(declined.retryAfterMs > 0);
 	ledger.noteFirstToken('a', 320);
-	t.true(ledger.reserve(reservation('b', 17_000), ctx(321)).isGranted);
+	t.true(reserve(ledger, reservation('b', 17_000), ctx(321)).isGranted);
 });
 
 test('a ledger knows what the engine has cached, and removes requests that ended', t => {
 	const ledger = createLedger();
-	ledger.reserve(reservation('a', 9000), ctx(0));
+	reserve(ledger, reservation('a', 9000), ctx(0));
 	ledger.noteFirstToken('a', 200);
-	t.is(ledger.reserve(reservation('a', 9000, {id: 'again'}), ctx(300)).keptTokens, 4500);
+	t.is(reserve(ledger, reservation('a', 9000, {id: 'again'}), ctx(300)).keptTokens, 4500);
 	ledger.noteEnded('a', 400);
 	ledger.noteEnded('again', 400);
 	t.is(ledger.running, 0);
 });
 
 test('a new ledger counts the running requests that the target itself reports', t => {
-	t.false(createLedger().reserve(reservation('a', 5000), ctx(0, {observedRunning: 64})).isGranted);
-	t.true(createLedger().reserve(reservation('a', 5000), ctx(10_000, {observedRunning: 64})).isGranted);
+	t.false(reserve(createLedger(), reservation('a', 5000), ctx(0, {observedRunning: 64})).isGranted);
+	t.true(reserve(createLedger(), reservation('a', 5000), ctx(10_000, {observedRunning: 64})).isGranted);
 });
 
 test('a request of a restarted VM replaces the earlier request of that VM with the same id', t => {
 	const ledger = createLedger();
-	ledger.reserve(reservation('a', 9000), ctx(0));
-	ledger.reserve(reservation('a', 9000), ctx(1));
+	reserve(ledger, reservation('a', 9000), ctx(0));
+	reserve(ledger, reservation('a', 9000), ctx(1));
 	t.is(ledger.running, 1);
 	ledger.noteEnded('a', 2);
-	const {readingTokens} = ledger.reserve(reservation('b', 9000), ctx(2));
+	const {readingTokens} = reserve(ledger, reservation('b', 9000), ctx(2));
 	t.true(readingTokens <= 9000);
 });
 
@@ -211,9 +216,9 @@
 
 test('a prompt whose shared prefix is being prefilled waits for it, with its own capacity reserved', t => {
 	const ledger = createLedger();
-	const first = ledger.reserve(reservation('a', 9000), ctx(0));
+	const first = reserve(ledger, reservation('a', 9000), ctx(0));
 	t.like(first, {isGranted: true, startAfterMs: 0});
-	const second = ledger.reserve(reservation('a', 9000, {id: 'b'}), ctx(1));
+	const second = reserve(ledger, reservation('a', 9000, {id: 'b'}), ctx(1));
 	t.true(second.isGranted);
 	// 9,000 tokens at 40 per millisecond, and the first decode step.
 	t.true(second.startAfterMs > 245 && second.startAfterMs < 500, `${second.startAfterMs}`);
@@ -226,27 +231,27 @@
 
 test('when the request that prefills a prefix ends early, the next request prefills the prefix and the others wait for that request', t => {
 	const ledger = createLedger();
-	ledger.reserve(reservation('a', 6000), ctx(0));
+	reserve(ledger, reservation('a', 6000), ctx(0));
 	for (const id of ['b', 'c']) {
-		t.true(ledger.reserve(reservation('a', 6000, {id, targetLatencyMs: 2000}), ctx(1)).startAfterMs > 0);
+		t.true(reserve(ledger, reservation('a', 6000, {id, targetLatencyMs: 2000}), ctx(1)).startAfterMs > 0);
 	}
 
 	ledger.noteEnded('a', 50);
 	t.deepEqual([...ledger.takeReleased(50).keys()], ['b']);
-	t.is(ledger.reserve(reservation('other', 6000, {targetLatencyMs: 5000}), ctx(51)).readingTokens, 6000 + 1500 + 6000);
+	t.is(reserve(ledger, reservation('other', 6000, {targetLatencyMs: 5000}), ctx(51)).readingTokens, 6000 + 1500 + 6000);
 	ledger.noteEnded('b', 60);
 	t.deepEqual([...ledger.takeReleased(60).keys()], ['c']);
 });
 
 test('a prompt that shares little with one that is being prefilled does not wait', t => {
 	const ledger = createLedger();
-	ledger.reserve(reservation('a', 6000), ctx(0));
+	reserve(ledger, reservation('a', 6000), ctx(0));
 	// The prompts share a prefix of 500 tokens.
-	t.is(ledger.reserve(reservation('b', 6000, {targetLatencyMs: 2000}), ctx(1)).startAfterMs, 0);
+	t.is(reserve(ledger, reservation('b', 6000, {targetLatencyMs: 2000}), ctx(1)).startAfterMs, 0);
 });
 
 const grantWithWait = {
-	target: 't1', isGranted: true, keptTokens: 0, retryAfterMs: 0, startAfterMs: 300, running: 0, readingTokens: 0, predictedMs: 10,
+	target: 't1', isGranted: true, keptTokens: 0, retryAfterMs: 0, startAfterMs: 300, queuedMs: 0, hasLine: false, running: 0, readingTokens: 0, predictedMs: 10,
 };
 
 test('a request that waits for a prefix is sent once when the owner releases it, even if messages are repeated', t => {
@@ -287,7 +292,11 @@
 	}
 
 	const message = replyOf(owner, effect, 'vm-x');
-	t.like(message, {kind: 'answer', answer: {isGranted: true, startAfterMs: 0, running: 0}});
+	t.like(message, {
+		kind: 'answer', answer: {
+			isGranted: true, startAfterMs: 0, queuedMs: 0, hasLine: false, running: 0,
+		},
+	});
 	t.is(placement.handle({kind: 'peer', from: effect.vm, message}, 4)[0]?.kind, 'grant');
 });
 
@@ -379,7 +388,7 @@
 		const later = ids.flatMap((id, index) => placement.handle({
 			kind: 'peer', from: 'vm-x', message: {
 				kind: 'answer', id, answer: {
-					target: 't1', isGranted: true, keptTokens: 0, retryAfterMs: 0, startAfterMs: 0, running: 0, readingTokens: 0, predictedMs: 10,
+					target: 't1', isGranted: true, keptTokens: 0, retryAfterMs: 0, startAfterMs: 0, queuedMs: 0, hasLine: false, running: 0, readingTokens: 0, predictedMs: 10,
 				},
 			},
 		}, 2 + index));
--- a/test/routing/placement-fields.test.ts
+++ b/test/routing/placement-fields.test.ts
@@ -1,9 +1,10 @@
 import test from 'ava';
+import {ORDINARY_PRECEDENCE} from '../../src/core/placement/start-limits.js';
 import {rejectFields} from '../../src/runtime/routing/placement-fields.js';
 import {createRequest, prompt} from '../placement/_service.js';
 
 const rejected = (changes: Partial<Parameters<typeof rejectFields>[1]>) => rejectFields('tariff', {
-	kind: 'reject', request: {...createRequest('team', 100), requestId: 'r1'}, reason: 'no-turn', retryAfterMs: 412.6, precedence: {givesWay: true, isFarAhead: false}, teamFigures: {team: 'team', usage: 1200.4, shareUsage: 900.2}, attempts: 3, ...changes,
+	kind: 'reject', request: {...createRequest('team', 100), requestId: 'r1'}, reason: 'no-turn', retryAfterMs: 412.6, precedence: {...ORDINARY_PRECEDENCE, givesWay: true}, teamFigures: {team: 'team', usage: 1200.4, shareUsage: 900.2}, attempts: 3, ...changes,
 }, 120);
 
 test('the log fields of a refused request have its position in the queue', t => {
@@ -18,7 +19,7 @@
 
 test('the log fields have the usage of the team and that beyond which it yields, if there is one', t => {
 	t.like(rejected({}), {
-		team: 'team', team_use: 1200, share_use: 900, gives_way: true, far_ahead: false,
+		team: 'team', team_use: 1200, share_use: 900, gives_way: true,
 	});
 	t.false('share_use' in rejected({teamFigures: {team: 'team', usage: 1, shareUsage: Infinity}}));
 });
--- a/test/routing/reservation-messages.test.ts
+++ b/test/routing/reservation-messages.test.ts
@@ -1,7 +1,7 @@
 import {create, fromBinary, toBinary} from '@bufbuild/protobuf';
 import test from 'ava';
 import fc from 'fast-check';
-import {type PeerMessage} from '../../src/core/placement/reservations.js';
+import {type PeerMessage} from '../../src/core/placement/peer-messages.js';
 import {PeerDatagramSchema} from '../../src/gen/jackdawwood/v1/exchange_pb.js';
 import {decodeReservations, encodeReservations, type ServiceMessage} from '../../src/runtime/routing/reservation-messages.js';
 import {
@@ -13,13 +13,14 @@
 const targetId = fc.constantFrom('t1', 't2', 'none');
 
 const wish = fc.record({
-	id, target: targetId, keys: fc.array(uint32, {maxLength: 4}), copiedTokens: uint32, targetLatencyMs: uint32, waitedMs: uint32, givesWay: fc.boolean(), isFarAhead: fc.boolean(), isResumed: fc.boolean(),
+	id, target: targetId, keys: fc.array(uint32, {maxLength: 4}), copiedTokens: uint32, targetLatencyMs: uint32, waitedMs: uint32, givesWay: fc.boolean(), isLate: fc.boolean(), isResumed: fc.boolean(),
+	teamKey: uint32, priority: fc.integer({min: -0x80_00_00_00, max: 0x7F_FF_FF_FF}), mayWait: fc.boolean(),
 	prompt: fc.record({
 		model: fc.constant(''), parts: fc.array(fc.record({id: fc.constant(''), tokens: uint32}), {maxLength: 4}), tokens: uint32, outputTokens: uint32,
 	}),
 });
 const answer = fc.record({
-	target: targetId, isGranted: fc.boolean(), keptTokens: uint32, retryAfterMs: uint32, startAfterMs: uint32, running: uint32, readingTokens: uint32, predictedMs: uint32,
+	target: targetId, isGranted: fc.boolean(), keptTokens: uint32, retryAfterMs: uint32, startAfterMs: uint32, queuedMs: uint32, hasLine: fc.boolean(), running: uint32, readingTokens: uint32, predictedMs: uint32,
 });
 const message: fc.Arbitrary<PeerMessage> = fc.oneof(
 	fc.record({kind: fc.constant('request' as const), wish}),
@@ -36,7 +37,7 @@
 	const sent: ServiceMessage = {
 		service: 'tariff', message: {
 			kind: 'request', wish: {
-				id: 'vm-2-1', target: 't1', prompt: prompt('subject', 9000), keys: [1, 2], copiedTokens: 500, targetLatencyMs: 800, waitedMs: 12, givesWay: true, isFarAhead: true, isResumed: false,
+				id: 'vm-2-1', target: 't1', prompt: prompt('subject', 9000), keys: [1, 2], copiedTokens: 500, targetLatencyMs: 800, waitedMs: 12, givesWay: true, isLate: true, isResumed: false, teamKey: 77, priority: -1, mayWait: true,
 			},
 		},
 	};
