--- a/src/core/placement/line-encounters.ts
+++ b/src/core/placement/line-encounters.ts
@@ -2,8 +2,8 @@
 
 /** Weight of one reply. */
 const REPLY_WEIGHT = 0.15;
-/** Share of the replies from which lines are usual: then another target hardly ever has capacity at once. */
-const USUAL_SHARE = 0.75;
+/** Share of the replies from which lines are usual. While a tenth of the targets has none, a second attempt elsewhere often starts at once. */
+const USUAL_SHARE = 0.95;
 /** Milliseconds after the last reply for which the estimate is valid. */
 const VALID_MS = 1000;
 
--- a/src/core/placement/owned-targets.ts
+++ b/src/core/placement/owned-targets.ts
@@ -163,13 +163,14 @@
 	}
 
 	/**
-	 * Admits the first request in line that its target can take now. A request for which slots or memory are missing is
-	 * not passed by one with the same limits; otherwise large prompts would never get them.
+	 * Admits the first request in line that its target can take now. Where slots or memory are missing for a request, those
+	 * of other teams behind it do not get them, or large prompts never would; smaller ones of its own team may.
 	 */
 	#startNext(line: ReservationLine, nowMs: number): {readonly entry: InLine; readonly answer: ReservationAnswer} | undefined {
-		let lacksCapacity = false;
+		let blocking: Reservation | undefined;
 		for (const entry of line.inOrder(this.#servedOf(nowMs))) {
-			if (lacksCapacity && entry.reservation.givesWay) {
+			const {teamKey, givesWay} = entry.reservation;
+			if (blocking && teamKey !== blocking.teamKey && (givesWay || !blocking.givesWay)) {
 				continue;
 			}
 
@@ -178,11 +179,13 @@
 				return {entry, answer};
 			}
 
-			if (fit === 'backlog' || (fit === 'no-capacity' && !entry.reservation.givesWay)) {
+			if (fit === 'backlog') {
 				return undefined;
 			}
 
-			lacksCapacity ||= fit === 'no-capacity';
+			if (fit === 'no-capacity') {
+				blocking ??= entry.reservation;
+			}
 		}
 
 		return undefined;
--- a/src/core/placement/reservations.ts
+++ b/src/core/placement/reservations.ts
@@ -186,7 +186,7 @@
 			return {kind: 'unowned'};
 		}
 
-		const mayWait = this.mayWait(request, precedence, nowMs);
+		const {mayWait} = candidate;
 		this.#attempts.set(request.requestId, (this.#attempts.get(request.requestId) ?? 0) + 1);
 		const pending: Pending = {
 			request, candidate, owner, requestedMs: nowMs, mayWait, precedence,
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -55,8 +55,6 @@
 	readonly random: () => number;
 	/** Loads that the other VMs report. */
 	readonly fleet: FleetLoads;
-	/** Whether this VM is overloaded, so that it refuses a share of its requests. */
-	readonly isVmOverloaded: () => boolean;
 };
 
 /** Returns what a request adds to its team's usage: a prompt token counts 1, an expected output token 2, and a request without a prompt 1. */
@@ -427,8 +425,7 @@
 			fleet,
 			hasAllReports: isFullMesh && fleet.reportingVms + 1 >= vms.length,
 			isSampled: !isFullMesh,
-			// An overloaded VM learns enough of all targets from its own responses, and has no time for reservation requests.
-			needsReservation: this.#usesReservations() && !this.#options.isVmOverloaded(),
+			needsReservation: this.#usesReservations(),
 			mayWait: (request, precedence) => this.#reservations.mayWait(request, precedence, nowMs),
 			lineWaitMs: target => this.#reservations.lineWaitMs(target.record.id, nowMs),
 			hasDeclined: (target, wish) => this.#reservations.hasDeclined(target.record.id, wish, nowMs),
--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -34,6 +34,8 @@
 const SUSPECT_PRICE_MS = 300;
 /** Price in milliseconds of a target that takes twice the typical time. It is the time that a request without a prompt takes. */
 const SLOWDOWN_PRICE_MS = 10;
+/** Price in milliseconds of a target that declined like requests a moment ago: more than any latency target. */
+const DECLINED_PRICE_MS = 10_000;
 /** Largest share of the targets that is skipped after failures; skipping more would overload the others. */
 const MAX_SKIPPED_SHARE = 0.34;
 
@@ -58,6 +60,8 @@
 	readonly averageMs: number;
 	/** Predicted milliseconds to first token plus all surcharges. */
 	readonly price: number;
+	/** Whether the request may be put in line at the target's owner. */
+	readonly mayWait: boolean;
 };
 
 /** Inputs of the choice that are the same for all requests at one moment. */
@@ -164,6 +168,7 @@
 		isPrefixHolder: holder?.target === target,
 		canStartInTime: hasCapacity(request, occupancyOf(target, others), {service, ...terms}) && startsInTime(request, {waitedMs, predictedMs, ownPrefillMs}, terms),
 		averageMs,
+		mayWait: false,
 		price: predictedMs + (priceBeyondStart(target, evaluation, {missingTokens, dataCentre}) * slowdown) + ((slowdown - 1) * SLOWDOWN_PRICE_MS),
 		figures: {
 			predictedMs,
@@ -300,13 +305,14 @@
 			request, keys, sharedTokens, holder, others: othersAt(target, ctx), precedence,
 		}, ctx);
 		const isOpen = isReserved ? !ctx.hasDeclined(target, {newTokens: candidate.newTokens, ...precedence}) : candidate.canStartInTime;
-		if (!isOpen && !mayWait) {
+		if (!isOpen && (!isReserved || precedence.isLate)) {
 			continue;
 		}
 
-		const price = candidate.price + (mayWait ? ctx.lineWaitMs(target) : 0);
+		// A target that declined like requests comes after all others, but for a request that may be in line there.
+		const price = candidate.price + (mayWait || !isOpen ? ctx.lineWaitMs(target) : 0) + (isOpen || mayWait ? 0 : DECLINED_PRICE_MS);
 		if (price < bestPrice) {
-			best = candidate;
+			best = {...candidate, mayWait: mayWait || !isOpen};
 			bestPrice = price;
 		}
 	}
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -65,8 +65,6 @@
 	readonly isCurrent?: () => boolean;
 	/** Returns the milliseconds since the store's last response to this VM, for the log. */
 	readonly storeAgeMs?: () => number;
-	/** Whether this VM is overloaded and refuses a share of the requests. */
-	readonly isVmOverloaded: () => boolean;
 	/** Absent if the versions of targets are ignored. */
 	readonly rollout?: Pick<RolloutTask, 'evidence' | 'versionSplit' | 'usesNewVersion' | 'maySend'>;
 	/** Counts the outcome of a request that was granted or rejected. A request that was never queued counts as in time. */
@@ -165,7 +163,7 @@
 };
 
 export const createPlacementScheduler = ({
-	vm, dataCentre, bounds, clock, view, vms, log, loads, random, isCurrent = () => true, storeAgeMs, isVmOverloaded, rollout, countOutcome, countPrompt = () => undefined, sendToPeer,
+	vm, dataCentre, bounds, clock, view, vms, log, loads, random, isCurrent = () => true, storeAgeMs, rollout, countOutcome, countPrompt = () => undefined, sendToPeer,
 }: PlacementSchedulerOptions): PlacementScheduler => {
 	const groupsOf = new Map<string, ServiceVersionGroups>();
 	/** Version groups that receive no new requests but still have queued or running ones. */
@@ -273,7 +271,7 @@
 	const createGroup = (service: RoutedService): VersionGroup => {
 		const group: VersionGroup = {
 			service: service.name, open: 0, placement: new ServicePlacement({
-				service, bounds, vm, vms, dataCentre, fleet: loads, createGrantId, random, isVmOverloaded,
+				service, bounds, vm, vms, dataCentre, fleet: loads, createGrantId, random,
 			}),
 		};
 		deliver(group, {kind: 'data-centres-out', names: view.dataCentresOut()});
