Reply at a bounded rate to VMs that blame sound prompt parts

Cause: each report that blames a part was replied to with a whole report by each VM that knows the part to be sound; after a common end all VMs blame sound parts, and reports are passed on. A VM now sends one reply in 100 ms, and one a second to the same VM, with the sound parts only. The new test has 2,000 replies in a second before, 10 now; the fleets of the quarantine's tests pass.

--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -12,6 +12,7 @@
 } from './blame.js';
 import {ClosedStreams} from './closed-streams.js';
 import {END_REPORT_MS, EndRecords, type EndRecord} from './end-records.js';
+import {createReplyLimit} from './reply-limit.js';
 import {SoundParts} from './sound-parts.js';
 import {
 	type Judgement, type LiftReason, type QuarantineEffect, type QuarantineMessage, type QuarantineReport, type SoundPart, type SuspectRequest,
@@ -54,6 +55,7 @@
 	readonly #ends: EndRecords;
 	readonly #closed = new ClosedStreams();
 	readonly #verdicts = new Verdicts();
+	readonly #replyLimit = createReplyLimit();
 	/** Parts that may be the reason for a recent end, with the time of the last one. */
 	#suspected: ReadonlyMap<string, number> = new Map();
 	/** When each of these parts was first suspected here. */
@@ -241,7 +243,7 @@
 			const isRefuted = soundMs !== undefined && soundMs > nowMs - verdict.ageMs;
 			return !isRefuted && this.#verdicts.merge(from, verdict, nowMs) ? [...this.#condemnedEffect(verdict.part, verdict.decidedBy, []), {kind: 'spread'} as const] : [];
 		});
-		return [...cleared, ...evidence, ...adopted, ...(isBlamedWrongly ? [{kind: 'reply', to: from} as const] : [])];
+		return [...cleared, ...evidence, ...adopted, ...(isBlamedWrongly && this.#replyLimit.take(from, nowMs) ? [{kind: 'reply', to: from} as const] : [])];
 	}
 
 	#noteSoundElsewhere({part, ageMs}: SoundPart, nowMs: number): readonly QuarantineEffect[] {
--- a/src/runtime/routing/load-exchange.ts
+++ b/src/runtime/routing/load-exchange.ts
@@ -83,7 +83,7 @@
 	readonly sendPeerMessage: (vm: string, service: string, message: PeerMessage) => void;
 	/** Sends a roll-out message at once. */
 	readonly sendRolloutMessage: (vm: string, message: RolloutMessage) => void;
-	/** Sends what the quarantine reports at once, in a large fleet: to one VM, or to those that the next load report goes to. In a small one, the next load report is soon enough. */
+	/** Sends what the quarantine reports at once, in a large fleet: to those that the next load report goes to, or only the sound parts, to one VM that blames them. In a small one, the next load report is soon enough. */
 	readonly sendQuarantine: (to?: string) => void;
 	readonly close: () => void;
 };
@@ -161,8 +161,8 @@
 			: {observed: takeObserved().map(load => ({...load, ageMs: Math.round(load.ageMs), workPercent: Math.max(0, Math.round(load.workPercent ?? 0))}))};
 	};
 
-	const quarantineField = (): {readonly quarantine?: QuarantineNotes} => {
-		const notes = quarantine && encodeQuarantine(quarantine());
+	const quarantineField = (select = (report: QuarantineReport): QuarantineReport => report): {readonly quarantine?: QuarantineNotes} => {
+		const notes = quarantine && encodeQuarantine(select(quarantine()));
 		return notes ? {quarantine: create(QuarantineNotesSchema, notes)} : {};
 	};
 
@@ -257,7 +257,7 @@
 			}
 
 			if (to !== undefined) {
-				sendTo(to, quarantineField, {kind: 'quarantine'});
+				sendTo(to, () => quarantineField(({sound}) => ({ends: [], sound, verdicts: []})), {kind: 'quarantine'});
 				return;
 			}
 
--- a/test/quarantine/_fleet-model.ts
+++ b/test/quarantine/_fleet-model.ts
@@ -91,7 +91,8 @@
 
 	/** Sends a report to some VMs in turn, or to one. */
 	const sendReport = (vm: number, only?: number): void => {
-		const message = vms[vm]!.report(nowMs);
+		const report = vms[vm]!.report(nowMs);
+		const message = only === undefined ? report : {ends: [], sound: report.sound, verdicts: []};
 		if (message.ends.length + message.sound.length + message.verdicts.length === 0) {
 			return;
 		}
--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -298,3 +298,24 @@
 	t.deepEqual(quarantine.condemned, ['bad']);
 	t.is(quarantine.judge(['companion'], never, 1510 + (3 * HEARING_MS)).kind, 'pass');
 });
+
+test('a VM that knows a blamed part to be sound says so at a bounded rate, however many VMs blame the part', t => {
+	const quarantine = new Quarantine('vm-1');
+	quarantine.handle({kind: 'answered', team: TEAM, parts: ['sound']}, 0);
+	const report: QuarantineReport = {
+		ends: [{
+			target: 'a', bornMs: 1, ageMs: 0, observers: ['vm-2', 'vm-3'], suspects: [{requestHash: 1, parts: ['sound']}],
+		}],
+		sound: [],
+		verdicts: [],
+	};
+	const replies: string[] = [];
+	for (let nowMs = 10; nowMs < 1010; nowMs += 10) {
+		for (let vm = 2; vm < 60; vm += 3) {
+			replies.push(...quarantine.handle({kind: 'reported', from: `vm-${vm}`, report}, nowMs).flatMap(effect => effect.kind === 'reply' ? effect.to : []));
+		}
+	}
+
+	t.is(replies.length, 10);
+	t.is(new Set(replies).size, 10, 'to a VM once');
+});
