--- a/src/core/placement/reservation-line.ts
+++ b/src/core/placement/reservation-line.ts
@@ -17,7 +17,7 @@
 const MIN_WAIT_SHARE = 0.3;
 
 /** Milliseconds of earlier entry that weigh as much as a millisecond of shorter prefill, among the requests of one team. */
-const PREFILL_WEIGHT = 0.7;
+const PREFILL_WEIGHT = 0.2;
 
 /** A request in line. Times are in milliseconds, on the owner's monotonic clock. */
 export type InLine = {
