Offer requests in line for a target that leaves to others at once

A line ends with its target, and its requests then waited for the end of their time in line, half a second at most, and counted as a missed reply of the owner. They time out at once now, and only owners that never replied miss a reply. Log lines of placed and refused requests get line_ms, the time in line.

--- a/src/core/placement/messages.ts
+++ b/src/core/placement/messages.ts
@@ -4,7 +4,7 @@
 import {type LoadFigures} from './target-view.js';
 import {type SentPrompt} from './prefix-cache-estimate.js';
 import {type OutgoingMessage, type PeerMessage} from './peer-messages.js';
-import {type LastDecline} from './reservations.js';
+import {type LastDecline, type PlacementEffort} from './reservations.js';
 import {type QueueSnapshot} from './service-queue.js';
 import {type Precedence} from './start-limits.js';
 import {type UnavailableTargets} from './target-choice.js';
@@ -51,7 +51,7 @@
 export type PlacementEffect =
 	/** A message that is sent to another VM without delay and that may be lost. */
 	| ({readonly kind: 'tell-peer'} & OutgoingMessage)
-	| {readonly kind: 'grant'; readonly request: PlacementRequest; readonly grantId: string; readonly target: TargetRecord; readonly details: PlacementDetails; readonly teamFigures: TeamFigures; readonly attempts: number; readonly queue?: QueueSnapshot}
+	| {readonly kind: 'grant'; readonly request: PlacementRequest; readonly grantId: string; readonly target: TargetRecord; readonly details: PlacementDetails; readonly teamFigures: TeamFigures; readonly effort: PlacementEffort; readonly queue?: QueueSnapshot}
 	| {
 		readonly kind: 'reject';
 		readonly request: PlacementRequest;
@@ -59,8 +59,7 @@
 		readonly retryAfterMs: number;
 		readonly precedence: Precedence;
 		readonly teamFigures: TeamFigures;
-		/** Number of reservations that were requested for the request. */
-		readonly attempts: number;
+		readonly effort: PlacementEffort;
 		/** State of the queue when the request entered it. */
 		readonly queue?: QueueSnapshot;
 		readonly unavailable?: UnavailableTargets;
--- a/src/core/placement/reservations.ts
+++ b/src/core/placement/reservations.ts
@@ -50,8 +50,8 @@
 	readonly requestedMs: number;
 	/** Present once granted, while another request prefills a shared prefix of the prompt. */
 	readonly granted?: {readonly answer: ReservationAnswer; readonly startByMs: number};
-	/** Present while the request is in line at the owner: the time until which the owner's second reply has to arrive. */
-	readonly queuedUntilMs?: number;
+	/** Present while the request is in line at the owner: since when, and until when the owner's second reply has to arrive. */
+	readonly line?: {readonly sinceMs: number; readonly untilMs: number};
 	readonly mayWait: boolean;
 	readonly precedence: Precedence;
 };
@@ -80,6 +80,16 @@
 /** Reply of the owner that declined a request last, for the log. */
 export type LastDecline = Omit<ReservationAnswer, 'isGranted'> & {readonly newTokens: number};
 
+/** What was done to start a request, for the log. */
+export type PlacementEffort = {
+	/** Number of reservations that were requested. */
+	readonly attempts: number;
+	/** Milliseconds in line at owners. */
+	readonly lineMs: number;
+};
+
+export const NO_EFFORT: PlacementEffort = {attempts: 0, lineMs: 0};
+
 export type ReservationsOptions = {
 	/** Name of this VM. */
 	readonly vm: string;
@@ -103,8 +113,8 @@
 	readonly #declines = new Map<string, Decline>();
 	/** Last decline of each request and the end of the pause after it, by request id. */
 	readonly #requestDeclines = new Map<string, {readonly notBeforeMs: number; readonly missedTurns: number; readonly last: LastDecline}>();
-	/** Number of reservations that were requested for each request that has not started, by request id. */
-	readonly #attempts = new Map<string, number>();
+	/** What was done to start each request that has not started, by request id. */
+	readonly #efforts = new Map<string, {-readonly [Key in keyof PlacementEffort]: PlacementEffort[Key]}>();
 	/** Times of the reservation requests whose replies are late, by grant id. */
 	readonly #lateReplies = new Map<string, number>();
 	/** Leading tokens of a prompt that can be copied from its preferred target, by the last of its `prefixKeys`. */
@@ -134,7 +144,7 @@
 
 	/** Whether a request may be in line at an owner: another target was tried first, unless nearly all targets have a line. */
 	mayWait({requestId}: PlacementRequest, {isLate}: Precedence, nowMs: number): boolean {
-		return !isLate && ((this.#attempts.get(requestId) ?? 0) > 0 || this.#lineEncounters.areUsual(nowMs));
+		return !isLate && ((this.#efforts.get(requestId)?.attempts ?? 0) > 0 || this.#lineEncounters.areUsual(nowMs));
 	}
 
 	/** Returns the milliseconds by which the owner of a target with a line lately predicted a later first token than this VM. */
@@ -159,17 +169,17 @@
 		return last ? last.predictedMs * last.newTokens / Math.max(1, last.readingTokens + last.newTokens) : 0;
 	}
 
-	/** Removes what is known of a request that was started; returns the number of its reservation requests. */
-	noteStarted({requestId}: PlacementRequest): number {
+	/** Removes what is known of a request that was started; returns what was done to start it. */
+	noteStarted({requestId}: PlacementRequest): PlacementEffort {
 		this.#requestDeclines.delete(requestId);
-		return this.#takeAttempts(requestId);
+		return this.#takeEffort(requestId);
 	}
 
-	/** Removes what is known of a request that was rejected; returns its last decline and the number of its reservation requests. */
-	noteRejected(requestId: string): {readonly lastDecline: LastDecline | undefined; readonly attempts: number} {
+	/** Removes what is known of a request that was rejected; returns its last decline and what was done to start it. */
+	noteRejected(requestId: string): {readonly lastDecline: LastDecline | undefined; readonly effort: PlacementEffort} {
 		const lastDecline = this.#requestDeclines.get(requestId)?.last;
 		this.#requestDeclines.delete(requestId);
-		return {lastDecline, attempts: this.#takeAttempts(requestId)};
+		return {lastDecline, effort: this.#takeEffort(requestId)};
 	}
 
 	/** Returns the leading tokens of a prompt that can be copied from its preferred target; 0 unless the owner reported them recently. */
@@ -187,7 +197,7 @@
 		}
 
 		const {mayWait} = candidate;
-		this.#attempts.set(request.requestId, (this.#attempts.get(request.requestId) ?? 0) + 1);
+		this.#effortOf(request).attempts++;
 		const pending: Pending = {
 			request, candidate, owner, requestedMs: nowMs, mayWait, precedence,
 		};
@@ -239,14 +249,18 @@
 
 	/** Removes and returns the requests whose reservations have timed out. */
 	takeTimedOut(nowMs: number): readonly Overdue[] {
-		const overdue = [...this.#pending].filter(([, {request, owner, requestedMs, granted, queuedUntilMs}]) => nowMs >= (granted?.startByMs ?? queuedUntilMs ?? requestedMs + this.#replyTimeoutMs(request, owner)));
+		const overdue = [...this.#pending].filter(([, {request, owner, requestedMs, granted, line}]) => nowMs >= (granted?.startByMs ?? line?.untilMs ?? requestedMs + this.#replyTimeoutMs(request, owner)));
 		return overdue.map(([id, pending]) => {
-			const {request, candidate, owner, granted} = pending;
+			const {request, candidate, owner, granted, line} = pending;
 			this.#pending.delete(id);
 			// The owner may have admitted the request although its reply is late, so it is notified of the request's progress.
 			this.#ownersOfGrants.set(id, {owner, target: candidate.target.record.id});
 			if (!granted) {
-				this.#owners.noteMissedReply(owner, nowMs);
+				// An owner that has replied once may have dropped its line with the target.
+				if (!line) {
+					this.#owners.noteMissedReply(owner, nowMs);
+				}
+
 				this.#noteLateReply(id, pending);
 				return {
 					id, request, candidate, isGranted: false,
@@ -262,7 +276,7 @@
 	/** Cancels the pending reservations of a request; returns the messages to their owners. */
 	withdraw(requestId: string): readonly OutgoingMessage[] {
 		this.#requestDeclines.delete(requestId);
-		this.#attempts.delete(requestId);
+		this.#efforts.delete(requestId);
 		return [...this.#pending].filter(([, {request}]) => request.requestId === requestId).map(([id, {owner, candidate}]) => {
 			this.#pending.delete(id);
 			return {
@@ -296,17 +310,28 @@
 		return this.#owned.onProgress(message, nowMs);
 	}
 
-	/** Removes the state of a target that is gone or whose cache is lost. */
+	/** Removes the state of a target that is gone or whose cache is lost. Requests in line for it time out at once. */
 	forget(target: string): void {
 		this.#owned.forget(target);
 		this.#lineWaits.delete(target);
 		this.#declines.delete(target);
+		for (const [id, pending] of this.#pending) {
+			if (pending.candidate.target.record.id === target && pending.line) {
+				this.#pending.set(id, {...pending, line: {...pending.line, untilMs: -Infinity}});
+			}
+		}
+	}
+
+	#effortOf({requestId}: PlacementRequest): {-readonly [Key in keyof PlacementEffort]: PlacementEffort[Key]} {
+		const effort = this.#efforts.get(requestId) ?? {...NO_EFFORT};
+		this.#efforts.set(requestId, effort);
+		return effort;
 	}
 
-	#takeAttempts(requestId: string): number {
-		const attempts = this.#attempts.get(requestId) ?? 0;
-		this.#attempts.delete(requestId);
-		return attempts;
+	#takeEffort(requestId: string): PlacementEffort {
+		const effort = this.#efforts.get(requestId) ?? NO_EFFORT;
+		this.#efforts.delete(requestId);
+		return effort;
 	}
 
 	#reservationOf(id: string, {request, candidate, prompt, mayWait, precedence}: Pending & {readonly prompt: NonNullable<PlacementRequest['prompt']>}, nowMs: number): Reservation {
@@ -335,10 +360,14 @@
 		}
 
 		if (answer.queuedMs > 0) {
-			this.#pending.set(id, {...pending, queuedUntilMs: nowMs + Math.min(answer.queuedMs, request.targetLatencyMs) + LINE_REPLY_MS});
+			this.#pending.set(id, {...pending, line: {sinceMs: nowMs, untilMs: nowMs + Math.min(answer.queuedMs, request.targetLatencyMs) + LINE_REPLY_MS}});
 			return {kind: 'waits'};
 		}
 
+		if (pending.line) {
+			this.#effortOf(request).lineMs += nowMs - pending.line.sinceMs;
+		}
+
 		if (answer.startAfterMs > 0) {
 			this.#pending.set(id, {...pending, granted: {answer, startByMs: nowMs + Math.min(MAX_AWAIT_MS, answer.startAfterMs)}});
 			return {kind: 'waits'};
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -482,11 +482,11 @@
 		}
 
 		const teamFigures = this.#teamFigures(request, nowMs);
-		const attempts = this.#reservations.noteStarted(request);
+		const effort = this.#reservations.noteStarted(request);
 		this.#shares.noteStarted(request.team, costOf(request), nowMs);
 		const queue = this.#queue.noteStarted(request, nowMs);
 		return {
-			kind: 'grant', request, grantId, target: target.record, details: figures, teamFigures, attempts, ...(queue && {queue}),
+			kind: 'grant', request, grantId, target: target.record, details: figures, teamFigures, effort, ...(queue && {queue}),
 		};
 	}
 
--- a/src/runtime/routing/placement-fields.ts
+++ b/src/runtime/routing/placement-fields.ts
@@ -27,8 +27,10 @@
 	team, team_use: Math.round(usage), ...(Number.isFinite(shareUsage) && {share_use: Math.round(shareUsage)}),
 });
 
-/** Returns the size of the request's prompt, and the number of reservations that were requested for it. */
-const promptFields = ({request: {prompt}, attempts}: Reject | Granted) => prompt && {prompt_tokens: Math.round(prompt.tokens), attempts};
+/** Returns the size of the request's prompt, how many reservations were requested for it, and the time that it was in line. */
+const promptFields = ({request: {prompt}, effort: {attempts, lineMs}}: Reject | Granted) => prompt && {
+	prompt_tokens: Math.round(prompt.tokens), attempts, ...(lineMs > 0 && {line_ms: Math.round(lineMs)}),
+};
 
 export const rejectFields = (service: string, effect: Reject, nowMs: number) => ({
 	request_id: effect.request.requestId,
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -15,6 +15,7 @@
 import {type FleetLoads, type TargetLoad, type TeamLoad} from '../../core/placement/fleet-loads.js';
 import {type SentPrompt} from '../../core/placement/prefix-cache-estimate.js';
 import {type PeerMessage} from '../../core/placement/peer-messages.js';
+import {NO_EFFORT} from '../../core/placement/reservations.js';
 import {type Tier} from '../../core/placement/service-queue.js';
 import {ServicePlacement} from '../../core/placement/service-placement.js';
 import {ORDINARY_PRECEDENCE} from '../../core/placement/start-limits.js';
@@ -196,7 +197,7 @@
 			}
 
 			const outcome = effect.kind === 'reject' ? effect.reason : 'started';
-			const {request: {kind: route = '', prompt}, attempts} = effect;
+			const {request: {kind: route = '', prompt}, effort: {attempts}} = effect;
 			countOutcome({service, tier: effect.queue?.tier ?? 'in-time', outcome});
 			if (prompt) {
 				countPrompt({
@@ -424,7 +425,7 @@
 			deliverWhenCurrent();
 		} else {
 			applyEffects(service, undefined, [{
-				kind: 'reject', request: placementRequest, reason: 'no-target', retryAfterMs: DEFAULT_LATENCY_MS, precedence: ORDINARY_PRECEDENCE, teamFigures: {team: placementRequest.team, usage: 0, shareUsage: Infinity}, attempts: 0,
+				kind: 'reject', request: placementRequest, reason: 'no-target', retryAfterMs: DEFAULT_LATENCY_MS, precedence: ORDINARY_PRECEDENCE, teamFigures: {team: placementRequest.team, usage: 0, shareUsage: Infinity}, effort: NO_EFFORT,
 			}]);
 		}
 
--- a/test/routing/placement-fields.test.ts
+++ b/test/routing/placement-fields.test.ts
@@ -4,7 +4,7 @@
 import {createRequest, prompt} from '../placement/_service.js';
 
 const rejected = (changes: Partial<Parameters<typeof rejectFields>[1]>) => rejectFields('tariff', {
-	kind: 'reject', request: {...createRequest('team', 100), requestId: 'r1'}, reason: 'no-turn', retryAfterMs: 412.6, precedence: {...ORDINARY_PRECEDENCE, givesWay: true}, teamFigures: {team: 'team', usage: 1200.4, shareUsage: 900.2}, attempts: 3, ...changes,
+	kind: 'reject', request: {...createRequest('team', 100), requestId: 'r1'}, reason: 'no-turn', retryAfterMs: 412.6, precedence: {...ORDINARY_PRECEDENCE, givesWay: true}, teamFigures: {team: 'team', usage: 1200.4, shareUsage: 900.2}, effort: {attempts: 3, lineMs: 210.4}, ...changes,
 }, 120);
 
 test('the log fields of a refused request have its position in the queue', t => {
@@ -34,7 +34,7 @@
 	t.false('tier' in rejected({}));
 });
 
-test('the log fields have the size of the prompt and how often a reservation was requested for it', t => {
-	t.like(rejected({request: createRequest('team', 100, {prompt: prompt('subject', 6610)})}), {prompt_tokens: 6610, attempts: 3});
+test('the log fields have the size of the prompt how often a reservation was requested for it, and its time in line', t => {
+	t.like(rejected({request: createRequest('team', 100, {prompt: prompt('subject', 6610)})}), {prompt_tokens: 6610, attempts: 3, line_ms: 210});
 	t.false('attempts' in rejected({}));
 });
