--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -223,7 +223,7 @@
 		}
 
 		const tier = this.#queue.tierOf(request, nowMs);
-		if (this.#queue.isEmptyUpTo(tier) && !this.#queue.isTooLate(request, nowMs) && this.#shares.usageOf(request.team, nowMs) <= this.#usageCeiling(nowMs)) {
+		if (this.#mayStartAtOnce(tier) && !this.#queue.isTooLate(request, nowMs) && this.#shares.usageOf(request.team, nowMs) <= this.#usageCeiling(nowMs)) {
 			const effects = this.#tryStart(request, this.#precedence(request, tier, nowMs), ctx);
 			if (effects) {
 				return effects;
@@ -234,6 +234,11 @@
 		return refused ? [this.#reject(refused, ctx)] : [];
 	}
 
+	/** Whether a request may start before those that are queued here. Where capacity is reserved, the owners of the targets decide on the order. */
+	#mayStartAtOnce(tier: Tier): boolean {
+		return this.#queue.isEmptyUpTo(tier) || (tier === 'in-time' && this.#usesReservations());
+	}
+
 	#precedence(request: PlacementRequest, tier: Tier, nowMs: number): Precedence {
 		return {
 			givesWay: this.#shares.isBeyondShare(request.team, nowMs) || this.#queue.givesWay(request, tier, nowMs),
