Keep the types of reservations in a module of their own

A field of the ledger's decision that nothing used is gone. Behaviour is unchanged: the tests of placement that use these modules pass.

--- a/src/core/placement/owned-targets.ts
+++ b/src/core/placement/owned-targets.ts
@@ -10,9 +10,8 @@
 import {
 	presentReservation, ReservationLine, startWithinMs, type InLine,
 } from './reservation-line.js';
-import {
-	CONTENDED_BACKLOG_MS, TargetLedger, type LedgerDecision, type ReservationAnswer, type Reservation,
-} from './target-ledger.js';
+import {type Reservation, type ReservationAnswer} from './reservation.js';
+import {CONTENDED_BACKLOG_MS, TargetLedger, type LedgerDecision} from './target-ledger.js';
 import {type TargetView} from './target-view.js';
 
 /** Least milliseconds in line for which a request is put there. A shorter wait hardly ever ends with a start. */
--- a/src/core/placement/peer-messages.ts
+++ b/src/core/placement/peer-messages.ts
@@ -1,5 +1,5 @@
 /** Messages between VMs about reservations. */
-import {type ReservationAnswer, type Reservation} from './target-ledger.js';
+import {type Reservation, type ReservationAnswer} from './reservation.js';
 
 /** Messages between VMs about reservations. */
 export type PeerMessage =
--- a/src/core/placement/reservation-line.ts
+++ b/src/core/placement/reservation-line.ts
@@ -5,7 +5,7 @@
  * goes to whichever VM asks next: teams get starts in proportion to their attempts, and a large
  * prompt never finds the capacity that small ones take as it appears.
  */
-import {type Reservation} from './target-ledger.js';
+import {type Reservation} from './reservation.js';
 
 /** Most requests in a line. A longer one holds more than an engine prefills within a latency target. */
 const MAX_WAITING = 64;
--- a/src/core/placement/target-ledger.ts
+++ b/src/core/placement/target-ledger.ts
@@ -12,10 +12,10 @@
  * prompt while its shared prefix is being prefilled prefills the prefix once more. The ledger
  * therefore reserves capacity for such a prompt and has it sent once the prefix is prefilled.
  */
-import {type Prompt} from '../dispatch/types.js';
 import {type RoutedService} from '../routing/types.js';
 import {createPrefixCacheEstimate, sentPromptOf, type PrefixCacheEstimate} from './prefix-cache-estimate.js';
 import {ALL_PROMPTS_KNOWN, createPrefillRate, type PrefillRate} from './prefill-rate.js';
+import {type Reservation, type ReservationAnswer} from './reservation.js';
 import {startWithinMs} from './reservation-line.js';
 import {
 	hasCapacity, startsInTime, type Precedence, type StartPrediction,
@@ -52,47 +52,6 @@
 /** Tokens per millisecond that an engine is assumed to prefill before the first sample. A few samples correct it. */
 const INITIAL_TOKENS_PER_MS = 40;
 
-/** A reservation request: the capacity that a VM needs at an engine for one prompt. */
-export type Reservation = {
-	/** Id of the grant that the reservation leads to. */
-	readonly id: string;
-	readonly target: string;
-	readonly prompt: Prompt;
-	/** The prompt's `prefixKeys`. */
-	readonly keys: readonly number[];
-	/** Leading tokens that the target would copy from another one. */
-	readonly copiedTokens: number;
-	readonly targetLatencyMs: number;
-	readonly waitedMs: number;
-	readonly isResumed: boolean;
-	/** Hash of the team's name; 0 if the requesting VM does not send it. */
-	readonly teamKey: number;
-	/** Whether the request may be put in line until the target has capacity for it. */
-	readonly mayWait: boolean;
-} & Precedence;
-
-/** An owner's reply to a reservation request, with the figures on which the decision is based. */
-export type ReservationAnswer = {
-	readonly target: string;
-	readonly isGranted: boolean;
-	/** Leading tokens of the prompt that the target has prefilled and cached, which other targets can copy. */
-	readonly keptTokens: number;
-	/** Milliseconds until the same request may be admitted; 0 when granted. */
-	readonly retryAfterMs: number;
-	/** When granted: milliseconds after which the requesting VM sends the request at the latest. More than 0 while a shared prefix is being prefilled; once it is prefilled, the owner sends a second reply with 0. */
-	readonly startAfterMs: number;
-	/** When not granted: milliseconds for which the request is in line at the most, within which a second reply follows; 0 when declined. */
-	readonly queuedMs: number;
-	/** Whether requests are in line for the target, or were a moment ago. */
-	readonly hasLine: boolean;
-	/** Requests at the target. */
-	readonly running: number;
-	/** Prompt tokens that the target has not prefilled yet, including those of this request when it is granted. */
-	readonly readingTokens: number;
-	/** Predicted milliseconds to first token. */
-	readonly predictedMs: number;
-};
-
 /** An admitted request that has not ended. */
 type Entry = {
 	readonly reservation: Reservation;
@@ -145,7 +104,7 @@
 };
 
 /** The decision on a reservation request, with the predicted milliseconds of prefill ahead of it and of its own prompt. */
-export type LedgerDecision = {readonly answer: ReservationAnswer} & Pick<Assessment, 'fit' | 'aheadMs' | 'tokensPerMs'> & Pick<StartPrediction, 'ownPrefillMs'>;
+export type LedgerDecision = {readonly answer: ReservationAnswer} & Pick<Assessment, 'fit' | 'aheadMs'> & Pick<StartPrediction, 'ownPrefillMs'>;
 
 /** What is known of the prompt that an engine prefills. */
 type PrefillProgress = {readonly id: string | undefined; readonly tokens: number; readonly overdueMs: number};
@@ -189,7 +148,6 @@
 		return {
 			fit,
 			aheadMs,
-			tokensPerMs,
 			ownPrefillMs: prediction.ownPrefillMs,
 			answer: {
 				target: this.#target,
--- a/src/runtime/routing/reservation-messages.ts
+++ b/src/runtime/routing/reservation-messages.ts
@@ -1,6 +1,6 @@
 /** Encodes and decodes the reservation messages in datagrams between VMs. */
 import {type MessageInitShape} from '@bufbuild/protobuf';
-import {type ReservationAnswer, type Reservation} from '../../core/placement/target-ledger.js';
+import {type Reservation, type ReservationAnswer} from '../../core/placement/reservation.js';
 import {type PeerMessage} from '../../core/placement/peer-messages.js';
 import {type PeerDatagram, type PeerDatagramSchema, type ReservationRequest} from '../../gen/jackdawwood/v1/exchange_pb.js';
 
--- a/test/placement/reservation-line.test.ts
+++ b/test/placement/reservation-line.test.ts
@@ -5,7 +5,7 @@
 import {prefixKeys} from '../../src/core/placement/prefix-cache-estimate.js';
 import {ReservationLine, startWithinMs} from '../../src/core/placement/reservation-line.js';
 import {ORDINARY_PRECEDENCE} from '../../src/core/placement/start-limits.js';
-import {type Reservation} from '../../src/core/placement/target-ledger.js';
+import {type Reservation} from '../../src/core/placement/reservation.js';
 import {TargetView} from '../../src/core/placement/target-view.js';
 import {modelService, prompt, target} from './_service.js';
 
--- a/test/placement/reservations.test.ts
+++ b/test/placement/reservations.test.ts
@@ -2,9 +2,8 @@
 import {type PlacementEffect} from '../../src/core/placement/messages.js';
 import {type PeerMessage} from '../../src/core/placement/peer-messages.js';
 import {type ServicePlacement} from '../../src/core/placement/service-placement.js';
-import {
-	TargetLedger, type LedgerContext, type Reservation, type ReservationAnswer,
-} from '../../src/core/placement/target-ledger.js';
+import {type Reservation, type ReservationAnswer} from '../../src/core/placement/reservation.js';
+import {TargetLedger, type LedgerContext} from '../../src/core/placement/target-ledger.js';
 import {prefixKeys} from '../../src/core/placement/prefix-cache-estimate.js';
 import {ORDINARY_PRECEDENCE} from '../../src/core/placement/start-limits.js';
 import {createTargetOwners} from '../../src/core/placement/target-owners.js';
