Let overloaded VMs place without reservations where no target has a line

An overloaded VM now reserves only while the replies of owners name lines; a reply a second shows that. Two tests: without lines it places at once and asks again after a second (fails on the code before), with lines it reserves.

--- a/src/core/placement/line-encounters.ts
+++ b/src/core/placement/line-encounters.ts
@@ -9,7 +9,10 @@
 
 export type LineEncounters = {
 	readonly note: (hasLine: boolean, nowMs: number) => void;
+	/** Whether nearly all targets have a line. */
 	readonly areUsual: (nowMs: number) => boolean;
+	/** Whether nearly no target has a line. */
+	readonly areRare: (nowMs: number) => boolean;
 };
 
 export const createLineEncounters = (): LineEncounters => {
@@ -22,5 +25,6 @@
 			notedMs = nowMs;
 		},
 		areUsual: nowMs => nowMs < notedMs + VALID_MS && share >= USUAL_SHARE,
+		areRare: nowMs => nowMs < notedMs + VALID_MS && share <= 1 - USUAL_SHARE,
 	};
 };
--- a/src/core/placement/reservations.ts
+++ b/src/core/placement/reservations.ts
@@ -127,6 +127,11 @@
 		this.#owned = new OwnedTargets(options);
 	}
 
+	/** Whether nearly no target has a line, as the last replies of owners said. */
+	hasRareLines(nowMs: number): boolean {
+		return this.#lineEncounters.areRare(nowMs);
+	}
+
 	/** Whether requests are in line for any target that this VM owns. */
 	get hasLines(): boolean {
 		return this.#owned.hasLines;
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -55,6 +55,8 @@
 	readonly random: () => number;
 	/** Loads that the other VMs report. */
 	readonly fleet: FleetLoads;
+	/** Whether this VM is overloaded, so that it refuses a share of its requests. */
+	readonly isVmOverloaded: () => boolean;
 };
 
 /** Returns what a request adds to its team's usage: a prompt token counts 1, an expected output token 2, and a request without a prompt 1. */
@@ -430,7 +432,8 @@
 			fleet,
 			hasAllReports: isFullMesh && fleet.reportingVms + 1 >= vms.length,
 			isSampled: !isFullMesh,
-			needsReservation: this.#usesReservations(),
+			// An overloaded VM has little time for reservation requests. Where no lines are, its requests take nobody's turn; a reply a second shows that.
+			needsReservation: this.#usesReservations() && !(this.#options.isVmOverloaded() && this.#reservations.hasRareLines(nowMs)),
 			mayWait: (request, precedence) => this.#reservations.mayWait(request, precedence, nowMs),
 			lineWaitMs: target => this.#reservations.lineWaitMs(target.record.id, nowMs),
 			hasDeclined: (target, wish) => this.#reservations.hasDeclined(target.record.id, wish, nowMs),
--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -68,6 +68,8 @@
 	readonly storeAgeMs?: () => number;
 	/** Absent if the versions of targets are ignored. */
 	readonly rollout?: Pick<RolloutTask, 'evidence' | 'versionSplit' | 'usesNewVersion' | 'maySend'>;
+	/** Whether this VM is overloaded and refuses a share of the requests. */
+	readonly isVmOverloaded: () => boolean;
 	/** Counts the outcome of a request that was granted or rejected. A request that was never queued counts as in time. */
 	readonly countOutcome: (labels: {readonly service: string; readonly tier: Tier; readonly outcome: 'started' | PlacementRejection}) => void;
 	/** Counts the outcome of a request with a prompt, and the reservations that were requested for it. */
@@ -164,7 +166,7 @@
 };
 
 export const createPlacementScheduler = ({
-	vm, dataCentre, bounds, clock, view, vms, log, loads, random, isCurrent = () => true, storeAgeMs, rollout, countOutcome, countPrompt = () => undefined, sendToPeer,
+	vm, dataCentre, bounds, clock, view, vms, log, loads, random, isCurrent = () => true, storeAgeMs, isVmOverloaded, rollout, countOutcome, countPrompt = () => undefined, sendToPeer,
 }: PlacementSchedulerOptions): PlacementScheduler => {
 	const groupsOf = new Map<string, ServiceVersionGroups>();
 	/** Version groups that receive no new requests but still have queued or running ones. */
@@ -272,7 +274,7 @@
 	const createGroup = (service: RoutedService): VersionGroup => {
 		const group: VersionGroup = {
 			service: service.name, open: 0, placement: new ServicePlacement({
-				service, bounds, vm, vms, dataCentre, fleet: loads, createGrantId, random,
+				service, bounds, vm, vms, dataCentre, fleet: loads, createGrantId, random, isVmOverloaded,
 			}),
 		};
 		deliver(group, {kind: 'data-centres-out', names: view.dataCentresOut()});
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -205,6 +205,7 @@
 		: undefined;
 	const scheduler = createPlacementScheduler({
 		vm, dataCentre, bounds, clock, view, vms, log, loads, random, isCurrent, storeAgeMs: source.responseAgeMs, ...(rollout && {rollout}),
+		isVmOverloaded: () => loadShedder.refusedShare() > 0,
 		countOutcome(labels) {
 			metrics.queueOutcomes.inc(labels);
 		},
--- a/test/placement/_service.ts
+++ b/test/placement/_service.ts
@@ -41,12 +41,13 @@
 	readonly service?: RoutedService;
 	readonly fleet?: FleetLoads;
 	readonly random?: () => number;
+	readonly isVmOverloaded?: () => boolean;
 };
 
-export const createPlacement = ({vm = 'vm-1', vms = ['vm-1'], service = modelService, fleet = new FleetLoads(), random = () => 0.5}: Setup = {}): ServicePlacement => {
+export const createPlacement = ({vm = 'vm-1', vms = ['vm-1'], service = modelService, fleet = new FleetLoads(), random = () => 0.5, isVmOverloaded = () => false}: Setup = {}): ServicePlacement => {
 	let grants = 0;
 	return new ServicePlacement({
-		service, bounds, vm, vms: () => vms, dataCentre: 'dc-a', fleet, random,
+		service, bounds, vm, vms: () => vms, dataCentre: 'dc-a', fleet, random, isVmOverloaded,
 		createGrantId() {
 			grants++;
 			return `${vm}-${grants}`;
--- a/test/placement/reservations.test.ts
+++ b/test/placement/reservations.test.ts
@@ -65,8 +65,10 @@
 	t.true(readingTokens <= 9000);
 });
 
-const withTargets = (vm: string): ServicePlacement => {
-	const placement = createPlacement({vm, vms, service: {...modelService, coldPerS: 0}});
+const withTargets = (vm: string, isVmOverloaded = () => false): ServicePlacement => {
+	const placement = createPlacement({
+		vm, vms, service: {...modelService, coldPerS: 0}, isVmOverloaded,
+	});
 	for (const id of ['t1', 't2', 't3']) {
 		placement.handle({kind: 'target', target: target(id)}, 0);
 	}
@@ -77,9 +79,9 @@
 const isPeerMessage = (effect: PlacementEffect | undefined): effect is Extract<PlacementEffect, {kind: 'tell-peer'}> => effect?.kind === 'tell-peer';
 
 /** Returns a VM that requests a reservation from another one, with the effect that requests it. */
-const requestingVm = () => {
+const requestingVm = (isVmOverloaded = () => false) => {
 	for (const vm of vms) {
-		const placement = withTargets(vm);
+		const placement = withTargets(vm, isVmOverloaded);
 		const pendingRequest = createRequest('team', 0, {prompt: prompt('subject', 9000)});
 		const [effect] = placement.handle({kind: 'ask', request: pendingRequest}, 0);
 		if (isPeerMessage(effect)) {
@@ -90,6 +92,34 @@
 	throw new Error('every VM owns its preferred target');
 };
 
+const grantWithWait = {
+	target: 't1', isGranted: true, keptTokens: 0, retryAfterMs: 0, startAfterMs: 300, queuedMs: 0, hasLine: false, running: 0, readingTokens: 0, predictedMs: 10,
+};
+
+test('an overloaded VM places without reservations while no target has a line, and asks again after a second', t => {
+	const {placement, effect} = requestingVm(() => true);
+	const id = effect.message.kind === 'request' ? effect.message.wish.id : '';
+	const grant = {...grantWithWait, target: outcomeOf(effect), startAfterMs: 0};
+	placement.handle({kind: 'peer', from: effect.vm, message: {kind: 'answer', id, answer: grant}}, 4);
+	const ask = (nowMs: number) => placement.handle({kind: 'ask', request: createRequest('team', nowMs, {prompt: prompt('subject', 5000)})}, nowMs)[0]?.kind;
+	t.is(ask(10), 'grant');
+	t.is(ask(1100), 'tell-peer', 'the last reply is old');
+});
+
+test('an overloaded VM requests reservations where targets have lines', t => {
+	const {placement, effect} = requestingVm(() => true);
+	const id = effect.message.kind === 'request' ? effect.message.wish.id : '';
+	placement.handle({
+		kind: 'peer', from: effect.vm, message: {
+			kind: 'answer', id, answer: {
+				...grantWithWait, target: outcomeOf(effect), startAfterMs: 0, hasLine: true,
+			},
+		},
+	}, 4);
+	const [next] = placement.handle({kind: 'ask', request: createRequest('team', 10, {prompt: prompt('subject', 5000)})}, 10);
+	t.is(next?.kind, 'tell-peer');
+});
+
 test('when an owner does not reply, the VM places the request by its own figures, and two missed replies make the owner unresponsive, but one does not', t => {
 	const {placement, effect} = requestingVm();
 	t.deepEqual(placement.handle({kind: 'tick'}, 95), []);
@@ -238,10 +268,6 @@
 	t.is(reserve(ledger, reservation('b', 6000, {targetLatencyMs: 2000}), ctx(1)).startAfterMs, 0);
 });
 
-const grantWithWait = {
-	target: 't1', isGranted: true, keptTokens: 0, retryAfterMs: 0, startAfterMs: 300, queuedMs: 0, hasLine: false, running: 0, readingTokens: 0, predictedMs: 10,
-};
-
 test('a request that waits for a prefix is sent once when the owner releases it, even if messages are repeated', t => {
 	const {placement, effect} = requestingVm();
 	const id = effect.message.kind === 'request' ? effect.message.wish.id : '';
--- a/test/routing/after-a-pause.test.ts
+++ b/test/routing/after-a-pause.test.ts
@@ -36,7 +36,7 @@
 	const view = createFleetView(silentLog);
 	const scheduler = createPlacementScheduler({
 		vm: 'vm-1', dataCentre: 'dc-a', bounds, clock, view, vms: () => ['vm-1'], log: silentLog, loads: new FleetLoads(), random: () => 0.5,
-		countOutcome: () => undefined, sendToPeer: () => undefined, isCurrent: () => isCurrent,
+		isVmOverloaded: () => false, countOutcome: () => undefined, sendToPeer: () => undefined, isCurrent: () => isCurrent,
 	});
 	const config = {
 		version: 1, routes: [], services: new Map([['tariff', modelService]]), teamsByKey: undefined,
--- a/test/routing/placement-scheduler.test.ts
+++ b/test/routing/placement-scheduler.test.ts
@@ -27,7 +27,7 @@
 	const scheduler = createPlacementScheduler({
 		vm: 'vm-1', dataCentre: 'dc-a', bounds, clock: monotonicClock, view,
 		vms: () => Array.from({length: 58}, (_, index) => `vm-${index + 1}`),
-		log, loads: new FleetLoads(), random: () => 0.5, sendToPeer: nothing,
+		log, loads: new FleetLoads(), random: () => 0.5, isVmOverloaded: () => false, sendToPeer: nothing,
 		countOutcome({service, tier, outcome}) {
 			counted.push(`${service} ${tier} ${outcome}`);
 		},
