--- a/test/placement/team-halves.test.ts
+++ b/test/placement/team-halves.test.ts
@@ -51,7 +51,31 @@
 	},
 ];
 
-for (const {title, play, asksAlike} of cases) {
+/** Cases that are played by hand only, with `TEAM_HALVES_SEEDS`. */
+const casesByHand: typeof cases = [
+	{
+		title: 'all requests of a team reach one VM of 300',
+		play: seed => playMixed(seed, NARROW_TEAM, {vms: 300}),
+		asksAlike: true,
+	},
+	{
+		title: 'refused callers return, all requests of a team reach one VM',
+		play: seed => playMixed(seed, NARROW_TEAM, {returnsAfterRefusal: true}),
+		asksAlike: true,
+	},
+	{
+		title: 'messages wait for 10 to 60 ms at each third of 120 VMs',
+		play: seed => playMixed(seed, THRICE_THE_CAPACITY, {vms: LARGE_FLEET_VMS, lagMs: (vm, draw) => vm % 3 === 0 ? 10 + (draw * 50) : 0}),
+		asksAlike: true,
+	},
+	{
+		title: 'a fifth of the VMs dies between 4 and 8 s',
+		play: seed => playMixed(seed, THRICE_THE_CAPACITY, {diesAtMs: vm => vm % 5 === 4 ? 4000 + (vm * 100) : Infinity}),
+		asksAlike: true,
+	},
+];
+
+for (const {title, play, asksAlike} of process.env.TEAM_HALVES_SEEDS === undefined ? cases : [...cases, ...casesByHand]) {
 	const figures = new Map<number, FleetFigures>();
 	const figuresOf = (seed: number): FleetFigures => {
 		const known = figures.get(seed) ?? play(seed);
