--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -538,6 +538,7 @@
 			return undefined;
 		}
 
+		// Two owners have said that its turn comes too late, so it counts as late at once.
 		if (this.#reservations.hasMissedTurns(request)) {
 			return 0;
 		}
--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -84,7 +84,7 @@
 	readonly averageHeldTokens: number;
 	/** Whether prompts need a reservation from the owner of their target. */
 	readonly needsReservation: boolean;
-	/** Whether a request may be put in line at a target's owner. */
+	/** Whether a request may be put in line at the first target that is tried. A request whose targets have all declined like ones may in any case. */
 	readonly mayWait: (request: PlacementRequest, precedence: Precedence) => boolean;
 	/** Returns the milliseconds by which the owner of a target with a line lately predicted a later first token than this VM. */
 	readonly lineWaitMs: (target: TargetView) => number;
