Compute the cost of a prompt in one place

The owners' lines and the usage of teams weighed prompt and output tokens by the same formula, written twice; it is promptCost now. A type import that nothing used is gone from the ledger.

--- a/src/core/placement/owned-targets.ts
+++ b/src/core/placement/owned-targets.ts
@@ -7,6 +7,7 @@
 import {type RoutedService} from '../routing/types.js';
 import {createDecayingSums} from './decaying-sums.js';
 import {type OutgoingMessage, type PeerMessage} from './peer-messages.js';
+import {promptCost} from './prompt-cost.js';
 import {
 	presentReservation, ReservationLine, startWithinMs, type InLine,
 } from './reservation-line.js';
@@ -16,11 +17,8 @@
 
 /** Least milliseconds in line for which a request is put there. A shorter wait hardly ever ends with a start. */
 const MIN_QUEUED_MS = 10;
-/** Weight of an output token in the cost of a request. */
-const OUTPUT_TOKEN_COST = 2;
-
 /** Returns what a request adds to what its team was served. */
-const costOf = ({prompt}: Reservation): number => prompt.tokens + (OUTPUT_TOKEN_COST * prompt.outputTokens);
+const costOf = ({prompt}: Reservation): number => promptCost(prompt);
 
 export type OwnedTargetsOptions = {
 	readonly service: () => RoutedService;
--- a/src/core/placement/service-placement.ts
+++ b/src/core/placement/service-placement.ts
@@ -21,6 +21,7 @@
 } from './prefix-cache-estimate.js';
 import {createPrefillRate, type PrefillRate} from './prefill-rate.js';
 import {type OutgoingMessage, type PeerMessage} from './peer-messages.js';
+import {promptCost} from './prompt-cost.js';
 import {Reservations, type ReserveResult} from './reservations.js';
 import {createSentPrompts} from './sent-prompts.js';
 import {ServiceQueue, type QueueRejection, type Tier} from './service-queue.js';
@@ -59,8 +60,8 @@
 	readonly isVmOverloaded: () => boolean;
 };
 
-/** Returns what a request adds to its team's usage: a prompt token counts 1, an expected output token 2, and a request without a prompt 1. */
-const costOf = ({prompt}: PlacementRequest): number => prompt ? prompt.tokens + (2 * prompt.outputTokens) : 1;
+/** Returns what a request adds to its team's usage; a request without a prompt counts 1. */
+const costOf = ({prompt}: PlacementRequest): number => prompt ? promptCost(prompt) : 1;
 
 /** Returns the tokens of a prompt after its shared prefix. */
 const unsharedTokens = ({tokens, parts}: NonNullable<PlacementRequest['prompt']>): number =>
--- a/src/core/placement/target-ledger.ts
+++ b/src/core/placement/target-ledger.ts
@@ -17,9 +17,7 @@
 import {ALL_PROMPTS_KNOWN, createPrefillRate, type PrefillRate} from './prefill-rate.js';
 import {type Reservation, type ReservationAnswer} from './reservation.js';
 import {startWithinMs} from './reservation-line.js';
-import {
-	hasCapacity, startsInTime, type Precedence, type StartPrediction,
-} from './start-limits.js';
+import {hasCapacity, startsInTime, type StartPrediction} from './start-limits.js';
 import {slowedMs} from './target-speed.js';
 
 /** Milliseconds after its admission for which a request counts when its end is not reported: longer than a latency target and the longest stream. */
