--- a/review/stand-ins/case.js
+++ b/review/stand-ins/case.js
@@ -95,13 +95,18 @@
 		record('case', {trouble: isTroubled});
 		const store = await startStore();
 		started.push(store);
-		store.put('op', 'config', config);
+		const putConfig = () => {
+			store.put('op', 'config', config);
+		};
+
+		putConfig();
 		const machines = await Promise.all(Array.from({length: MACHINES}, async (_, index) => createMachine({
 			name: `edge-${index + 1}`, zone: ZONES[index % ZONES.length], index, store: store.address, folder: temporary, record,
 		})));
 		started.push(...machines);
 		const isBroken = await play({
 			store,
+			putConfig,
 			machines,
 			record,
 			async startWorker(options) {
--- a/review/stand-ins/store.js
+++ b/review/stand-ins/store.js
@@ -19,6 +19,10 @@
 	const rows = new Map();
 	const waiting = new Set();
 	let version = 0;
+	/** Number of times that the store has come back from an older copy. */
+	let era = 0;
+	let copy;
+	let isAway = false;
 	const startMs = performance.now();
 
 	const idOf = ({table, part = '', key}) => JSON.stringify([table, part, key]);
@@ -42,7 +46,7 @@
 	const toWire = row => row.value === undefined ? {...row, deleted: true} : row;
 	const header = () => ({schema_version: version, now_ms: Math.round(performance.now() - startMs)});
 	const send = (res, status, body) => {
-		res.writeHead(status, {'content-type': 'application/json'}).end(JSON.stringify(body));
+		res.writeHead(status, {'content-type': 'application/json', 'store-era': String(era)}).end(JSON.stringify(body));
 	};
 
 	const get = (res, query) => {
@@ -54,6 +58,11 @@
 
 	const feed = (res, query) => {
 		const after = Number(query.get('after_revision'));
+		if (after > version) {
+			send(res, 410, {});
+			return;
+		}
+
 		const changed = () => [...rows.values()].filter(row => row.table === query.get('table') && row.schema_version > after).toSorted((a, b) => a.schema_version - b.schema_version);
 		const finish = () => {
 			waiting.delete(check);
@@ -99,6 +108,11 @@
 
 	const serve = async (req, res) => {
 		await delay(ANSWER_MS);
+		if (isAway) {
+			send(res, 503, {});
+			return;
+		}
+
 		const {pathname, searchParams} = new URL(req.url, 'http://store');
 		switch (pathname) {
 			case '/v1/rows-get': {
@@ -138,6 +152,29 @@
 				row.value = encode(value);
 			}
 		},
+		/** Removes a row, as the store does with the entry of a worker that is silent for three heartbeats. */
+		drop(table, key) {
+			commit([{table, key}]);
+		},
+		/** Keeps a copy of the present state, to which `restore` goes back. */
+		keepCopy() {
+			copy = {rows: new Map([...rows].map(([id, row]) => [id, {...row}])), version};
+		},
+		/** Turns all calls away until `restore`; the calls that wait end without an answer. */
+		leave() {
+			isAway = true;
+			server.closeAllConnections();
+		},
+		/** Comes back from the copy: later writes are gone, and their versions are given out again. */
+		restore() {
+			isAway = false;
+			era++;
+			version = copy.version;
+			rows.clear();
+			for (const [id, row] of copy.rows) {
+				rows.set(id, row);
+			}
+		},
 		close() {
 			server.close();
 			server.closeAllConnections();
--- a/review/stand-ins/worker.js
+++ b/review/stand-ins/worker.js
@@ -3,8 +3,11 @@
 import {once} from 'node:events';
 import http from 'node:http';
 import {buffer} from 'node:stream/consumers';
+import {setTimeout as delay} from 'node:timers/promises';
 
 const HEARTBEAT_MS = 1200;
+/** Heartbeats of silence after which the store removes an entry. */
+const EXPIRY_HEARTBEATS = 3;
 
 /**
  * Starts a worker.
@@ -46,12 +49,33 @@
 		service, address: `127.0.0.1:${server.address().port}`, zone, version: 'v1', slots, state: 'ready', cold_remaining_ms: 0, sequence, born,
 	});
 	store.put('servers', id, entry());
+	let isCut = false;
 	const timer = setInterval(() => {
-		sequence++;
-		store.beat(id, entry());
+		if (!isCut) {
+			sequence++;
+			store.beat(id, entry());
+		}
 	}, HEARTBEAT_MS);
 	return {
 		id,
+		/** Writes the whole entry again. */
+		announce() {
+			sequence++;
+			store.put('servers', id, entry());
+		},
+		/** Cuts the worker off from the store for a time that its entry doesn't outlive; callers and machines still reach it. */
+		async cutFromStore(forMs) {
+			isCut = true;
+			record('worker cut off from the store', {worker: id});
+			await delay(EXPIRY_HEARTBEATS * HEARTBEAT_MS);
+			store.drop('servers', id);
+			record('entry expired', {worker: id});
+			await delay(forMs - (EXPIRY_HEARTBEATS * HEARTBEAT_MS));
+			isCut = false;
+			sequence++;
+			store.put('servers', id, entry());
+			record('entry is back', {worker: id, state: 'ready'});
+		},
 		close() {
 			clearInterval(timer);
 			server.close();
