--- a/review/stand-ins/machine.js
+++ b/review/stand-ins/machine.js
@@ -15,24 +15,31 @@
 const START_LIMIT_MS = 30_000;
 /** Milliseconds from the end of a process to its restart. */
 const RESTART_MS = 500;
+const FRONTEND_PORT = 8800;
+const READY_PORT = 8700;
+const EXCHANGE_PORT = 7400;
 
 const deployed = readFileSync(path.join(ROOT, 'deploy/system.toml'), 'utf8');
 const fieldOf = name => new RegExp(String.raw`^${name} = "(.*)"$`, 'mv').exec(deployed)?.[1] ?? '';
 
-const freePort = async ip => {
+/** Returns the first port from `first` on that is free; it is below the range from which the system picks ports. */
+const freePort = async (ip, first) => {
 	const server = net.createServer();
-	server.listen(0, ip);
-	await once(server, 'listening');
-	const {port} = server.address();
-	server.close();
-	await once(server, 'close');
-	return port;
+	try {
+		server.listen(first, ip);
+		await once(server, 'listening');
+		return first;
+	} catch {
+		return await freePort(ip, first + 1);
+	} finally {
+		server.close();
+	}
 };
 
 export const createMachine = async ({name, zone, index, store, folder, record}) => {
 	// The metrics port of the deploy file is fixed, so each machine has a loopback address of its own.
 	const ip = `127.${10 + (process.pid % 200)}.${Math.floor(process.pid / 200) % 250}.${10 + index}`;
-	const [frontend, ready, exchange] = [await freePort(ip), await freePort(ip), await freePort(ip)];
+	const [frontend, ready, exchange] = [await freePort(ip, FRONTEND_PORT), await freePort(ip, READY_PORT), await freePort(ip, EXCHANGE_PORT)];
 	const fields = machineFields({
 		name, zone, ip, ports: {frontend, ready, exchange}, store,
 	});
