End every request when the grace period of a planned stop ends

Callers saw: status 200 and a stream without a length that ended with an orderly close after 128 to 143 of 156 events, so it looked complete.

Cause: at the end of the grace period the stop closed the connections to targets. A request that may be resumed took this for a broken connection and was queued again; main then ended the process, and the system closed the caller's connection in an orderly way.

The log has "request repeated" after "stopped". Ruled out: the reset of such a response; the streams beside them that may not be resumed got it.

Change: the end of the grace period is a message (vm-stopping) that ends a request in every state with a final response, and nothing is sent, queued or resumed after it. This works because the response is cut by the process while it lives, before the connections to targets are closed.

--- a/src/core/attempt/attempt.ts
+++ b/src/core/attempt/attempt.ts
@@ -272,6 +272,35 @@
 		: refuse(state, refusal, [{kind: 'drop-call'}, ...endGrant(state, nowMs, unsentResult)]);
 };
 
+/**
+ * Ends a request of a process that is about to end. No later grant, retry or resumption could be
+ * carried out, and the caller's connection would close as if a response without a length were complete.
+ */
+const onVmStopping = (state: AttemptState, spec: AttemptSpec, nowMs: number): AttemptStep => {
+	const notSent = new RefusalError(VmLeaving, {}, {retryAfterMs: LEAVING_RETRY_AFTER_MS});
+	switch (state.kind) {
+		case 'claiming':
+		case 'queued': {
+			const withdraw = {kind: 'withdraw'} as const;
+			return state.hasErrorResponse && !state.callerDisconnected
+				? end(state, 'answered', [withdraw, {kind: 'deliver-error'}])
+				: refuse(state, notSent, [withdraw]);
+		}
+
+		case 'granted': {
+			return refuse(state, notSent, [{kind: 'drop-call'}, ...endGrant(state, nowMs, unsentResult)]);
+		}
+
+		case 'sent': {
+			return refuse(state, lostResponseRefusal(state, spec, 'this VM was stopped'), [{kind: 'abandon-call'}, ...endGrant(state, nowMs, {kind: 'failed', cost: 0})]);
+		}
+
+		case 'ended': {
+			return withoutEffects(state);
+		}
+	}
+};
+
 const onCallerDisconnected = (state: AttemptState, nowMs: number): AttemptStep => {
 	const disconnected = {...state, callerDisconnected: true};
 	switch (state.kind) {
@@ -318,6 +347,10 @@
 			return onVmLeaving(state, nowMs);
 		}
 
+		case 'vm-stopping': {
+			return onVmStopping(state, spec, nowMs);
+		}
+
 		case 'claimed': {
 			return enqueue(state);
 		}
--- a/src/core/attempt/types.ts
+++ b/src/core/attempt/types.ts
@@ -59,6 +59,8 @@
 	| {readonly kind: 'begin'}
 	/** This VM stops before the request has to end. */
 	| {readonly kind: 'vm-leaving'}
+	/** The process of this VM is about to end. */
+	| {readonly kind: 'vm-stopping'}
 	| {readonly kind: 'claimed'}
 	| {readonly kind: 'claim-refused'; readonly refusal: RefusalError}
 	| {readonly kind: 'granted'; readonly grant: Grant}
--- a/src/runtime/entry/attempt-task.ts
+++ b/src/runtime/entry/attempt-task.ts
@@ -75,11 +75,11 @@
 			this.#startRunTimer(route.endByMs - clock.nowMs());
 		}
 
-		this.#removeDepartureListener = this.#ctx.departure?.onNoticeEnd(() => {
-			this.#refuseIfLeaving();
+		this.#removeDepartureListener = this.#ctx.departure?.onChange(() => {
+			this.#endIfLeaving();
 		});
 		this.#notify({kind: 'begin'});
-		this.#refuseIfLeaving();
+		this.#endIfLeaving();
 		this.#response.onDrain(() => {
 			this.#call?.resume();
 		});
@@ -88,10 +88,12 @@
 		});
 	}
 
-	/** Refuses the request, unless it was sent before, if this VM stops before the request has to end. */
-	#refuseIfLeaving(): void {
+	/** Ends the request if the process is about to end. Refuses it, unless it was sent before, if this VM stops before the request has to end. */
+	#endIfLeaving(): void {
 		const {route} = this.#job;
-		if (route && this.#ctx.departure?.maySend(Math.min(route.endByMs, route.callerWaitsUntilMs)) === false) {
+		if (this.#ctx.departure?.isGraceOver()) {
+			this.#notify({kind: 'vm-stopping'});
+		} else if (route && this.#ctx.departure?.maySend(Math.min(route.endByMs, route.callerWaitsUntilMs)) === false) {
 			this.#notify({kind: 'vm-leaving'});
 		}
 	}
@@ -282,7 +284,7 @@
 			this.#notify({kind: 'caller-left'});
 		}
 
-		this.#refuseIfLeaving();
+		this.#endIfLeaving();
 		return this.#notify({kind: 'writing', valid}).some(({kind}) => kind === 'write');
 	}
 
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -43,6 +43,8 @@
 const LEAVE_NOTICE_MS = 2500;
 /** Milliseconds of the grace period that are reserved for the exit of the process. */
 const END_MARGIN_MS = 500;
+/** Milliseconds of that margin for writing the refusals of requests that the end of the grace period ends. */
+const LAST_WRITES_MS = 150;
 /** Milliseconds between checks of the server for requests that arrive too slowly. */
 const SLOW_CHECK_MS = 500;
 /** Number of listeners on the callers' address: Node accepts one connection per listener in a turn of its event loop. */
@@ -362,7 +364,10 @@
 		departure.begin(endByMs);
 		await delay(Math.min(LEAVE_NOTICE_MS, bounds.graceMs / 2));
 		departure.endNotice();
-		await Promise.race([Promise.all(serverStops.map(async serverStop => serverStop.stop())), delay(Math.max(0, endByMs - clock.nowMs()))]);
+		const allEnded = Promise.all(serverStops.map(async serverStop => serverStop.stop()));
+		await Promise.race([allEnded, delay(Math.max(0, endByMs - clock.nowMs()))]);
+		departure.endGrace();
+		await Promise.race([allEnded, delay(LAST_WRITES_MS)]);
 		ingressReport.flush(clock.nowMs());
 		trafficReport.flush();
 		log.info('stopped');
--- a/test/attempt/_explore.ts
+++ b/test/attempt/_explore.ts
@@ -29,6 +29,7 @@
 	{kind: 'failed', reason: 'link-broken', cost: 0},
 	{kind: 'run-timeout', limitMs: 5, cost: 0},
 	{kind: 'caller-left'},
+	{kind: 'vm-stopping'},
 	{kind: 'cancelled', cost: 1},
 ];
 
@@ -58,7 +59,7 @@
 const afterMessage = (trace: Trace, message: AttemptMessage): Trace => {
 	const {kind} = message;
 	const openRequests = trace.openRequests - (kind === 'granted' || kind === 'rejected' ? 1 : 0);
-	const lost = trace.sent && (kind === 'failed' || kind === 'run-timeout');
+	const lost = trace.sent && (kind === 'failed' || kind === 'run-timeout' || kind === 'vm-stopping');
 	return {
 		...trace,
 		openRequests,
--- a/test/attempt/routed.test.ts
+++ b/test/attempt/routed.test.ts
@@ -61,6 +61,27 @@
 	t.true(run([...first, {kind: 'declined', reason: 'overloaded'}, leaving], spec()).kinds.includes('refuse VmLeaving'));
 });
 
+test('when the process is about to end, a request gets its final response in every state and is not queued again', t => {
+	const stopping: readonly AttemptMessage[] = [{kind: 'vm-stopping'}, broken, {kind: 'granted', grant}];
+	const endOf = (messages: readonly AttemptMessage[], changes: Partial<AttemptSpec> = {}): readonly string[] => {
+		const {state, kinds} = run([...messages, ...stopping], spec({isResumable: true, ...changes}));
+		t.is(state.kind, 'ended');
+		return kinds.slice(run(messages, spec({isResumable: true, ...changes})).kinds.length);
+	};
+
+	t.snapshot({
+		queued: endOf([{kind: 'begin'}]),
+		granted: endOf([{kind: 'begin'}, {kind: 'granted', grant}]),
+		sent: endOf(first),
+		'sent, at most once': endOf(first, {repeat: 'never'}),
+		'in mid-answer': endOf([...first, {kind: 'delivering'}]),
+		'queued after a run': endOf([...first, broken]),
+		'queued in mid-answer': endOf([...first, {kind: 'delivering'}, broken]),
+		'queued after an error response': endOf([...first, {kind: 'error-answer'}]),
+		'its caller has left': endOf([...first, {kind: 'caller-left'}]),
+	});
+});
+
 test('an error response of a target is delivered when no other attempt is allowed', t => {
 	const messages: readonly AttemptMessage[] = [...first, {kind: 'error-answer'}];
 	t.is(run(messages, spec()).state.kind, 'queued');
--- a/test/platform/planned-stop.test.ts
+++ b/test/platform/planned-stop.test.ts
@@ -1,4 +1,4 @@
-/** Guards against requests that a VM takes late in the grace period of its planned stop and cuts at its end. */
+/** Guards against requests that a VM takes late in the grace period of its planned stop and cuts at its end, and against streams that are cut there and look complete. */
 import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -6,6 +6,7 @@
 import {startWorksTarget} from '../../standins/works/works-target.js';
 import {startRouterProcess} from '../memory/_router-process.js';
 import {HOST, KEY, until} from './_platform.js';
+import {callRaw} from './_raw-call.js';
 
 /** Milliseconds that a target takes for a request. The grace period of the test's settings is 2 s. */
 const RUN_MS = 700;
@@ -90,3 +91,25 @@
 	// A refusal says that the request did not run.
 	t.is(target.arrivals().length, early.length + late.length - refused.length);
 });
+
+const PROMPT = {'x-model': 'm', 'x-token-count': '100,8', 'x-prompt-prefix': 'aa:50,bb:50'};
+/** More events, 50 ms apart, than fit into the grace period. */
+const LONG_STREAM = {stream: true, events: 120, gapMs: 50} as const;
+
+for (const [form, endsByClose] of [['in chunks', false], ['without a length', true]] as const) {
+	test.serial(`a stream ${form} that outlasts the grace period is never complete for its caller, also where it may be resumed`, async t => {
+		const targets = await Promise.all(['m1', 'm2'].map(async id => startWorksTarget({id, endsByClose, ...LONG_STREAM})));
+		t.teardown(async () => Promise.all(targets.map(async target => target.close())));
+		const router = await startRouterProcess(t, {targets: Object.fromEntries(targets.map(({id, address}) => [id, address]))});
+		const calls = ['brief', 'chat'].flatMap(route => Array.from({length: 4}, async (_, index) =>
+			callRaw(router.callers, `/${route}/${index}`, {headers: {...PROMPT, 'x-deadline-ms': '8000'}})));
+		await until(t, () => targets.reduce((count, target) => count + target.arrivals().length, 0) === calls.length, 'all streams run');
+		router.signal('SIGTERM');
+		const responses = await Promise.all(calls);
+		t.deepEqual(responses.map(({status}) => status), Array.from({length: calls.length}, () => 200));
+		t.deepEqual(responses.filter(({isComplete}) => isComplete).map(({body}) => body.split('\n\n').length), []);
+		await until(t, router.hasEnded, 'the process has ended');
+		t.regex(router.log(), /"reason":"AnswerBroken".*this VM was stopped/v);
+		t.notRegex(router.log(), /request repeated/v);
+	});
+}
