Pass responses on with a length or in chunks, never until the connection closes

Callers saw: after a kill of a router, status 200 and 17 or 18 of 40 events of a stream whose target sends neither a length nor chunks, ended by an orderly close: a complete response by HTTP/1.1, and by HTTP clients such as undici after a reset too.

Cause: such a response was passed on in the same form, so the end of the caller's connection was its only mark, and every cut by the router itself had to remember the reset. A kill cannot.

Change: a response whose length is not known is sent in chunks, and the last chunk follows the target's orderly end alone. For a caller of HTTP/1.0 it is held until its length is known, up to 1 MiB. This works because a cut then shows in the form and needs nothing of the process that is cut.

--- a/src/core/attempt/attempt.ts
+++ b/src/core/attempt/attempt.ts
@@ -243,7 +243,8 @@
 
 	const isEarlyBreak = message.reason === 'link-broken' && message.hadLasted !== true;
 	const broken = {...state, earlyBreaks: state.earlyBreaks + (isEarlyBreak ? 1 : 0)};
-	return mayRetry(broken, spec, nowMs)
+	// The response of another target would be as large.
+	return message.reason !== 'too-large' && mayRetry(broken, spec, nowMs)
 		? requeue('failed', before)({...broken, mayHaveRun: true}, spec, nowMs)
 		: refuse(broken, lostResponseRefusal(broken, spec, message.reason), before);
 };
--- a/src/runtime/entry/caller-response.ts
+++ b/src/runtime/entry/caller-response.ts
@@ -12,6 +12,8 @@
 const SLICE_BYTES = 65_536;
 /** Most bytes that the connection to a target buffers while it is paused: 16 KB that were read before the pause, and one more read of 64 KB. */
 const PAUSED_TARGET_BYTES = 81_920;
+/** Most bytes of a response without a known length that are held for a caller that understands no chunks. */
+const MAX_HELD_BYTES = 1_048_576;
 
 /**
  * The response to one caller. Writes after its end, or after the caller has disconnected, have
@@ -19,11 +21,13 @@
  */
 export type CallerResponse = {
 	/**
-	 * Writes status and headers. `until-close` is for a response from a target whose end is marked
-	 * only by the close of its connection. It is passed on in the same way, because an explicit end
-	 * would claim a completeness that is not known.
+	 * Writes status and headers. A response without a `content-length` header is sent in chunks, so that its
+	 * end is explicit however the target marks it: a cut then shows even when this process is killed. For a
+	 * caller of HTTP/1.0, which understands no chunks, the response is held until its length is known.
 	 */
-	readonly begin: (status: number, headers: Headers, form: 'events' | 'bytes' | 'until-close') => void;
+	readonly begin: (status: number, headers: Headers, form: 'events' | 'bytes') => void;
+	/** Whether this many further bytes can be written; false if more would have to be held than allowed. */
+	readonly mayTake: (bytes: number) => boolean;
 	/** Writes a chunk. Returns false when the writer should pause until `onDrain`. */
 	readonly write: (chunk: Uint8Array | string) => boolean;
 	readonly end: (chunk?: Uint8Array | string) => void;
@@ -64,9 +68,17 @@
 	},
 });
 
+type ResponseHead = {readonly status: number; readonly headers: Headers; readonly newForm: 'events' | 'bytes'};
+
+/** Whether only chunks can mark the end of a response: it has a body, of unknown length. */
+const needsChunks = ({req}: ServerResponse, {status, headers}: ResponseHead): boolean =>
+	headers['content-length'] === undefined && status !== 204 && status !== 304 && req.method !== 'HEAD';
+
 /** Creates the response to a caller from Node's response object. */
 export const createCallerResponse = (res: ServerResponse, requestId: string, responseForm = defaultForm(requestId), account = noAccount): CallerResponse => {
-	let form: 'none' | 'events' | 'bytes' | 'until-close' = 'none';
+	let form: 'none' | 'events' | 'bytes' = 'none';
+	/** Head of a response that is held until its length is known. */
+	let heldHead: ResponseHead | undefined;
 	let ended = false;
 	/** Chunks that have not been written to the connection yet, in order. */
 	let queue: Uint8Array[] = [];
@@ -115,6 +127,26 @@
 		flush();
 	};
 
+	const hold = (chunk: Uint8Array): void => {
+		queue.push(chunk);
+		queueBytes += chunk.length;
+		account.recordProgress();
+		account.set('unread', queueBytes);
+	};
+
+	const writeHead = ({status, headers, newForm}: ResponseHead): void => {
+		form = newForm;
+		res.writeHead(status, {...headers, ...responseForm.headers});
+	};
+
+	/** Sends a held response, whose length is now known. */
+	const release = (head: ResponseHead): void => {
+		heldHead = undefined;
+		writeHead({...head, headers: {...head.headers, 'content-length': String(queueBytes)}});
+		endsAfterQueue = true;
+		flush();
+	};
+
 	res.on('drain', () => {
 		account.recordProgress();
 		flush();
@@ -133,6 +165,8 @@
 	const sendRefusal = (err: RefusalError) => {
 		switch (form) {
 			case 'none': {
+				queue = [];
+				queueBytes = 0;
 				responseForm.writeRefusal(res, err);
 				break;
 			}
@@ -148,11 +182,6 @@
 				break;
 			}
 
-			case 'until-close': {
-				res.socket?.resetAndDestroy();
-				break;
-			}
-
 			case 'bytes': {
 				res.destroy();
 				break;
@@ -162,22 +191,28 @@
 
 	return {
 		begin(status, headers, newForm) {
-			if (!ended && form === 'none') {
-				form = newForm;
-				if (form === 'until-close') {
-					res.removeHeader('content-length');
-					res.removeHeader('transfer-encoding');
-					res.setHeader('connection', 'close');
-				}
+			if (ended || form !== 'none') {
+				return;
+			}
 
-				res.writeHead(status, {...headers, ...responseForm.headers});
+			const head = {status, headers, newForm};
+			if (needsChunks(res, head) && !res.useChunkedEncodingByDefault) {
+				heldHead = head;
+			} else {
+				writeHead(head);
 			}
 		},
+		mayTake: bytes => !heldHead || queueBytes + bytes <= MAX_HELD_BYTES,
 		write(chunk) {
 			if (ended) {
 				return true;
 			}
 
+			if (heldHead) {
+				hold(Buffer.from(chunk));
+				return true;
+			}
+
 			if (queueBytes === 0 && chunk.length <= SLICE_BYTES) {
 				res.write(chunk);
 			} else {
@@ -193,7 +228,10 @@
 			}
 
 			ended = true;
-			if (queueBytes === 0 && chunk.length <= SLICE_BYTES) {
+			if (heldHead) {
+				hold(Buffer.from(chunk));
+				release(heldHead);
+			} else if (queueBytes === 0 && chunk.length <= SLICE_BYTES) {
 				res.end(chunk);
 			} else {
 				endsAfterQueue = true;
--- a/src/runtime/entry/stream-response.ts
+++ b/src/runtime/entry/stream-response.ts
@@ -2,6 +2,7 @@
  * Reads streamed responses. Each event is checked (request id, offset) and passed on; a broken
  * stream is resumed at the offset of the first missing token.
  */
+import {Buffer} from 'node:buffer';
 import {createParser, type EventSourceMessage} from 'eventsource-parser';
 import * as z from 'zod';
 import {usageCost} from '../../core/attempt/cost.js';
@@ -104,11 +105,13 @@
 		}
 
 		beginOnce();
-		if (!ctx.response.write(out)) {
+		const events = Buffer.from(out);
+		out = '';
+		if (!ctx.response.mayTake(events.length)) {
+			ctx.onFailed('too-large', cost());
+		} else if (!ctx.response.write(events)) {
 			ctx.pause();
 		}
-
-		out = '';
 	};
 
 	const endWhenDone = () => {
--- a/src/runtime/entry/whole-response.ts
+++ b/src/runtime/entry/whole-response.ts
@@ -57,12 +57,20 @@
 	let isPassingThrough = false;
 	const plainCost = isModel ? 0 : headerCost(oneHeader(ctx.headers, 'x-cost'));
 
+	const passOn = (bytes: Uint8Array) => {
+		if (!ctx.response.mayTake(bytes.length)) {
+			ctx.onFailed('too-large', plainCost);
+		} else if (!ctx.response.write(bytes)) {
+			ctx.pause();
+		}
+	};
+
 	const startPassThrough = () => {
 		isPassingThrough = true;
 		ctx.onDelivering();
 		const length = oneHeader(ctx.headers, 'content-length');
 		ctx.response.begin(ctx.status, {...headersForCaller(ctx.headers), ...(length !== undefined && {'content-length': length})}, 'bytes');
-		ctx.response.write(Buffer.concat(chunks));
+		passOn(Buffer.concat(chunks));
 	};
 
 	const deliver = (body: Uint8Array) => {
@@ -81,10 +89,7 @@
 	return {
 		onData(chunk) {
 			if (isPassingThrough) {
-				if (!ctx.response.write(chunk)) {
-					ctx.pause();
-				}
-
+				passOn(chunk);
 				return;
 			}
 
--- a/src/runtime/routing/relay-call.ts
+++ b/src/runtime/routing/relay-call.ts
@@ -88,10 +88,10 @@
 
 const hasNoBody = ({status}: ResponseHead): boolean => status === 204 || status === 304;
 
-/** Returns `until-close` if only the end of the connection marks the end of the response. */
-const framingOf = (head: ResponseHead): 'bytes' | 'until-close' => {
+/** Whether only the end of the target's connection marks the end of the response. */
+const endsWithConnection = (head: ResponseHead): boolean => {
 	const {'content-length': length, 'transfer-encoding': encoding} = head.headers;
-	return length === undefined && encoding === undefined && !hasNoBody(head) ? 'until-close' : 'bytes';
+	return length === undefined && encoding === undefined && !hasNoBody(head);
 };
 
 class RelayCall implements RunningCall {
@@ -309,7 +309,7 @@
 	/** Clears the request, unless the end of its stream may be that of the target's process. */
 	#onAnswerEnded(): void {
 		const {promptWatch, grant} = this.#options;
-		if (this.#isStream && !this.#isSound && this.#head && framingOf(this.#head) === 'until-close') {
+		if (this.#isStream && !this.#isSound && this.#head && endsWithConnection(this.#head)) {
 			promptWatch.noteClosed(this.#progress.job, {target: grant.target, bornMs: this.#bornMs});
 		} else {
 			this.#noteSound();
@@ -452,10 +452,7 @@
 		}
 
 		this.#begin();
-		if (!callerResponse.write(completeEvents)) {
-			this.#stallTimer.stop();
-			this.#call?.pause();
-		}
+		this.#passOn(completeEvents);
 	}
 
 	#begin(): void {
@@ -468,7 +465,18 @@
 		progress.hasBegun = true;
 		progress.begunWith = this.#isStream ? head.status : undefined;
 		this.#options.notify({kind: 'delivering'});
-		progress.callerResponse.begin(head.status, this.#options.wire.callerHeaders(head.headers), framingOf(head));
+		progress.callerResponse.begin(head.status, this.#options.wire.callerHeaders(head.headers), 'bytes');
+	}
+
+	/** Passes bytes on and pauses the call while the caller reads slowly. Fails the call if the caller's response cannot take them. */
+	#passOn(bytes: Uint8Array): void {
+		const {callerResponse} = this.#progress;
+		if (!callerResponse.mayTake(bytes.length)) {
+			this.#fail('too-large');
+		} else if (!callerResponse.write(bytes)) {
+			this.#stallTimer.stop();
+			this.#call?.pause();
+		}
 	}
 
 	#collect(chunk: Uint8Array): void {
@@ -481,8 +489,8 @@
 			this.#size += chunk.length;
 			if (this.#size > MAX_FORWARDED_BYTES) {
 				this.#fail('link-broken');
-			} else if (!callerResponse.write(chunk)) {
-				this.#call?.pause();
+			} else {
+				this.#passOn(chunk);
 			}
 
 			return;
@@ -496,9 +504,7 @@
 		}
 
 		this.#begin();
-		if (!callerResponse.write(this.#takeCollected())) {
-			this.#call?.pause();
-		}
+		this.#passOn(this.#takeCollected());
 	}
 
 	/** Returns the collected bytes and releases them from the memory account; they count as part of the response to the caller from then on. */
@@ -548,9 +554,7 @@
 		if (head) {
 			const body = this.#takeCollected();
 			const headers = this.#options.wire.callerHeaders(head.headers);
-			const form = framingOf(head);
-			const hasLength = form === 'bytes' && !hasNoBody(head);
-			callerResponse.begin(head.status, hasLength ? {...headers, 'content-length': String(body.length)} : headers, form);
+			callerResponse.begin(head.status, hasNoBody(head) ? headers : {...headers, 'content-length': String(body.length)}, 'bytes');
 			callerResponse.end(body);
 		}
 	}
