Pass the declared length of responses to HEAD on

Callers saw: content-length 0 in a response to HEAD, whatever length the target had declared for the resource.

Cause: the routing path sets the length of a collected body, which is empty for HEAD. The product's own path knew the case; both now use one function.

Result: the new test got '0' for '655360' before, and passes.

--- a/src/runtime/entry/caller-response.ts
+++ b/src/runtime/entry/caller-response.ts
@@ -3,6 +3,7 @@
 import {type ServerResponse} from 'node:http';
 import {type RefusalError} from '../../core/errors/refusal-error.js';
 import {noAccount, type MemoryAccount} from '../memory/memory-accounts.js';
+import {hasNoBody} from './headers.js';
 import {type Headers} from './job.js';
 import {errorEvent, writeRefusal} from './refuse.js';
 
@@ -72,7 +73,7 @@
 
 /** Whether only chunks can mark the end of a response: it has a body, of unknown length. */
 const needsChunks = ({req}: ServerResponse, {status, headers}: ResponseHead): boolean =>
-	headers['content-length'] === undefined && status !== 204 && status !== 304 && req.method !== 'HEAD';
+	headers['content-length'] === undefined && !hasNoBody(status) && req.method !== 'HEAD';
 
 /** Creates the response to a caller from Node's response object. */
 export const createCallerResponse = (res: ServerResponse, requestId: string, responseForm = defaultForm(requestId), account = noAccount): CallerResponse => {
--- a/src/runtime/entry/headers.ts
+++ b/src/runtime/entry/headers.ts
@@ -41,3 +41,12 @@
 	const value = headers[name];
 	return typeof value === 'string' ? value : undefined;
 };
+
+/** Whether responses with a status have no body. */
+export const hasNoBody = (status: number): boolean => status === 204 || status === 304;
+
+/** Returns the header with the length of a response whose whole body is known. For HEAD it is the length that the target declares for GET. */
+export const lengthHeader = (method: string, {status, headers}: {readonly status: number; readonly headers: IncomingHttpHeaders}, bodyBytes: number): Headers => {
+	const length = method === 'HEAD' ? oneHeader(headers, 'content-length') : String(bodyBytes);
+	return hasNoBody(status) || length === undefined ? {} : {'content-length': length};
+};
--- a/src/runtime/entry/whole-response.ts
+++ b/src/runtime/entry/whole-response.ts
@@ -8,8 +8,7 @@
 import {headerCost, usageCost} from '../../core/attempt/cost.js';
 import {type FaultReason} from '../../core/attempt/types.js';
 import {type ResponseReader, type ReaderContext} from './response-reader.js';
-import {headersForCaller, oneHeader} from './headers.js';
-import {type Headers} from './job.js';
+import {headersForCaller, lengthHeader, oneHeader} from './headers.js';
 
 /** Most bytes of a plain response that are collected. A longer response is passed through. */
 const PLAIN_BUFFER_BYTES = 256 * 1024;
@@ -38,16 +37,6 @@
 	return parsed.data.id === requestId ? {cost: usageCost(parsed.data.usage)} : {fault: 'crossed'};
 };
 
-/** Returns the header with the length of a response. For HEAD it has the length that the target declares for GET. Responses with 204 and 304 have no such header. */
-const lengthHeader = ({job, status, headers}: ReaderContext, body: Uint8Array): Headers => {
-	if (status === 204 || status === 304) {
-		return {};
-	}
-
-	const declaredLength = job.request.method === 'HEAD' ? oneHeader(headers, 'content-length') : String(body.length);
-	return declaredLength === undefined ? {} : {'content-length': declaredLength};
-};
-
 /** Creates a reader for a response that is not a stream of events. */
 export const readWholeResponse = (ctx: ReaderContext): ResponseReader => {
 	const isCompletion = ctx.job.mode !== 'plain' && ctx.status === 200;
@@ -81,7 +70,7 @@
 			return;
 		}
 
-		ctx.response.begin(ctx.status, {...headersForCaller(ctx.headers), ...lengthHeader(ctx, body)}, 'bytes');
+		ctx.response.begin(ctx.status, {...headersForCaller(ctx.headers), ...lengthHeader(ctx.job.request.method, ctx, body.length)}, 'bytes');
 		ctx.response.end(body);
 		ctx.onAnswered(checked.cost);
 	};
--- a/src/runtime/routing/relay-call.ts
+++ b/src/runtime/routing/relay-call.ts
@@ -13,6 +13,7 @@
 import {type Observation, type Prompt} from '../../core/dispatch/types.js';
 import {callTarget, type Call} from '../entry/call-target.js';
 import {type CallerResponse} from '../entry/caller-response.js';
+import {hasNoBody, lengthHeader} from '../entry/headers.js';
 import {type Job} from '../entry/job.js';
 import {type CallOptions, type CreateCalls, type RunningCall} from '../entry/running-call.js';
 import {createStallTimer, type StallTimer} from '../entry/stall-timer.js';
@@ -86,12 +87,10 @@
 
 type ResponseHead = {readonly status: number; readonly headers: IncomingHttpHeaders; readonly isError: boolean};
 
-const hasNoBody = ({status}: ResponseHead): boolean => status === 204 || status === 304;
-
 /** Whether only the end of the target's connection marks the end of the response. */
 const endsWithConnection = (head: ResponseHead): boolean => {
 	const {'content-length': length, 'transfer-encoding': encoding} = head.headers;
-	return length === undefined && encoding === undefined && !hasNoBody(head);
+	return length === undefined && encoding === undefined && !hasNoBody(head.status);
 };
 
 class RelayCall implements RunningCall {
@@ -554,7 +553,7 @@
 		if (head) {
 			const body = this.#takeCollected();
 			const headers = this.#options.wire.callerHeaders(head.headers);
-			callerResponse.begin(head.status, hasNoBody(head) ? headers : {...headers, 'content-length': String(body.length)}, 'bytes');
+			callerResponse.begin(head.status, {...headers, ...lengthHeader(this.#progress.job.request.method, head, body.length)}, 'bytes');
 			callerResponse.end(body);
 		}
 	}
--- a/test/platform/response-endings.test.ts
+++ b/test/platform/response-endings.test.ts
@@ -150,3 +150,16 @@
 		t.deepEqual(misleading.flat(), []);
 	});
 }
+
+test.serial('a response to HEAD has the length that its target declares and no body', async t => {
+	const router = await startRouter(t);
+	const head = async (form: Form, httpVersion: '1.0' | '1.1') => {
+		const {headers, body} = await callRaw(router.callers, `/look/${pathOf(form, 'none')}`, {method: 'HEAD', httpVersion});
+		return {length: headers['content-length'], encoding: headers['transfer-encoding'], body};
+	};
+
+	const length = String(wholeBody(false, 'none').length);
+	for (const httpVersion of ['1.0', '1.1'] as const) {
+		t.deepEqual(await head('length', httpVersion), {length, encoding: undefined, body: ''}); // eslint-disable-line no-await-in-loop
+	}
+});
