Close connections whose peer sends bytes without end that belong to no body

Report of another operator: a worker sent bytes that were no answer, without end; the machine that had called it kept them and ran out of memory.

Cause: the HTTP client's parser bounds headers and reports bodies. Informational responses, empty lines, sizes and extensions of chunks are neither, so no reader could count them, and only a time limit ended the call.

Bodies that are read whole have a limit.

Not run on to its end: the tests of bodies, of dripping load reports and of many targets at once.

--- a/src/cli/client/router-client.ts
+++ b/src/cli/client/router-client.ts
@@ -2,6 +2,7 @@
 import {type Dispatcher, request} from 'undici';
 import * as z from 'zod';
 import {JackdawwoodError} from '../../core/errors/jackdawwood-error.js';
+import {readText} from '../../runtime/http/read-text.js';
 import {RouterAnswerUnknown, RouterUnreachable} from './client-errors-data.js';
 
 /** Address of the router, and the credentials and timeout of calls to it. */
@@ -41,6 +42,8 @@
 export type CommandResponse = z.output<typeof commandResponse>;
 
 const STATUS_OK = 200;
+/** Largest response in bytes that is read; the table of all targets of a large fleet has some MB. */
+const MAX_RESPONSE_BYTES = 67_108_864;
 
 const post = async ({router, token, timeoutMs}: RouterAccess, path: string, body: unknown): Promise<{readonly status: number; readonly text: string}> => {
 	try {
@@ -50,7 +53,7 @@
 			body: JSON.stringify(body),
 			signal: AbortSignal.timeout(timeoutMs),
 		});
-		return {status: res.statusCode, text: await res.body.text()};
+		return {status: res.statusCode, text: await readText(res.body, MAX_RESPONSE_BYTES)};
 	} catch (error) {
 		throw new JackdawwoodError(RouterUnreachable, {router}, error instanceof Error ? error : undefined);
 	}
--- a/src/runtime/entry/target-pools.ts
+++ b/src/runtime/entry/target-pools.ts
@@ -1,7 +1,8 @@
 /** Manages the connections to targets, in one bounded pool for each address. */
 import {type Socket} from 'node:net';
-import {buildConnector, Pool, type Dispatcher} from 'undici';
+import {type Dispatcher, type Pool} from 'undici';
 import {JackdawwoodError} from '../../core/errors/jackdawwood-error.js';
+import {createMeteredPool} from '../http/metered-pool.js';
 import {ConnectionReset} from './entry-errors-data.js';
 
 /** Most connections to one target; further calls are queued. The slots of a target keep the number of its connections far below this. */
@@ -53,23 +54,6 @@
 	};
 };
 
-const createConnector = (timeout: number): buildConnector.connector => {
-	// The HTTP client passes `highWaterMark` on to `net.connect`, but its types do not include it.
-	const connectorOptions: buildConnector.BuildOptions & {readonly highWaterMark: number} = {timeout, highWaterMark: PAUSED_BYTES};
-	const connect = buildConnector(connectorOptions);
-	return (options, callback) => {
-		connect(options, (...result) => {
-			const [, socket] = result;
-			if (socket) {
-				socket.prependListener('error', markReset);
-				emitResetAsError(socket);
-			}
-
-			callback(...result);
-		});
-	};
-};
-
 export type TargetPoolsOptions = {
 	/** Returns the most connections to an address. */
 	readonly connections?: (address: string) => number;
@@ -79,10 +63,13 @@
 };
 
 const createPool = (address: string, {connections, connectTimeoutMs = CONNECT_TIMEOUT_MS, onUnreachable}: TargetPoolsOptions): Pool => {
-	const pool = new Pool(`http://${address}`, {
+	const pool = createMeteredPool(`http://${address}`, {
 		connections: connections?.(address) ?? MAX_CONNECTIONS,
-		pipelining: 1,
-		connect: createConnector(connectTimeoutMs),
+		connect: {timeout: connectTimeoutMs, highWaterMark: PAUSED_BYTES},
+		onConnect(socket) {
+			socket.prependListener('error', markReset);
+			emitResetAsError(socket);
+		},
 		keepAliveTimeout: KEEP_ALIVE_MS,
 		keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
 		keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
--- a/src/runtime/platform/platform-http.ts
+++ b/src/runtime/platform/platform-http.ts
@@ -1,5 +1,6 @@
 /** HTTP calls to the platform. A failed call states whether it may have taken effect. */
 import {type Dispatcher, errors} from 'undici';
+import {readText} from '../http/read-text.js';
 import {callWithin, CallTimeout} from './call-within.js';
 import {type RenewablePool} from './renewable-pool.js';
 import {type RateLimited, type Unavailable} from './types.js';
@@ -20,6 +21,9 @@
 /** The result of a call. `lost` is true if the call may have reached the platform. */
 export type HttpResult = HttpResponse | RateLimited | (Unavailable & {readonly lost: boolean});
 
+/** Largest response in bytes that is read; a page of rows has a few MB. */
+const MAX_RESPONSE_BYTES = 67_108_864;
+
 const TOO_MANY_REQUESTS = 429;
 const SERVICE_UNAVAILABLE = 503;
 const MS_PER_SECOND = 1000;
@@ -56,7 +60,7 @@
 				...(call.body !== undefined && {body: call.body, headers: {'content-type': call.contentType ?? 'application/json'}}),
 				signal,
 			});
-			return {res, body: await res.body.text()};
+			return {res, body: await readText(res.body, MAX_RESPONSE_BYTES)};
 		}));
 		if (res.statusCode === TOO_MANY_REQUESTS) {
 			return {kind: 'rate_limited', retryAfterMs: retryAfterMs(res.headers)};
--- a/src/runtime/platform/renewable-pool.ts
+++ b/src/runtime/platform/renewable-pool.ts
@@ -3,7 +3,8 @@
  * responding without an error, often several at once, and each would cost the call that uses it
  * next another timeout.
  */
-import {Pool} from 'undici';
+import {type Pool} from 'undici';
+import {createMeteredPool, type MeteredPoolOptions} from '../http/metered-pool.js';
 
 export type RenewablePool = {
 	/** Makes a call on the present connections. If `signal` is aborted before the call has ended, later calls use new connections; calls under way on the old ones may still end. */
@@ -13,8 +14,8 @@
 };
 
 /** Creates a pool; it connects on first use. */
-export const createRenewablePool = (origin: string, options: Pool.Options): RenewablePool => {
-	let pool = new Pool(origin, options);
+export const createRenewablePool = (origin: string, options: MeteredPoolOptions): RenewablePool => {
+	let pool = createMeteredPool(origin, options);
 	/** Replaced pools whose calls are still under way. */
 	const closing = new Set<Pool>();
 
@@ -23,7 +24,7 @@
 			return;
 		}
 
-		pool = new Pool(origin, options);
+		pool = createMeteredPool(origin, options);
 		closing.add(used);
 		const remove = (): void => {
 			closing.delete(used);
