--- a/test/memory/_router-process.ts
+++ b/test/memory/_router-process.ts
@@ -46,6 +46,10 @@
 	readonly changes?: Readonly<Record<string, unknown>>;
 	/** Lateness of timers, in milliseconds, above which the router refuses requests. */
 	readonly behindMs?: number;
+	/** Sends signals to the process while it starts, from the moment on at which its listeners stand; the runtime itself, which loads before, has none. */
+	readonly whileStarting?: (signal: (name: NodeJS.Signals) => void) => Promise<void>;
+	/** Whether the process may end before it is ready. */
+	readonly mayEnd?: boolean;
 };
 
 const statusMb = (pid: number, field: string): number => {
@@ -53,8 +57,14 @@
 	return Number(new RegExp(String.raw`^${field}:\s+(\d+) kB`, 'mv').exec(text)?.[1]) / KB_PER_MB;
 };
 
+/** Whether a process has a handler for SIGHUP, the first signal in the mask of those that it catches. */
+const catchesHangup = (pid: number): boolean => {
+	const mask = /^SigCgt:\s+(?<mask>[\da-f]+)/mv.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.groups?.mask;
+	return Number.parseInt(mask?.at(-1) ?? '0', 16) % 2 === 1;
+};
+
 /** Starts a store and a router; resolves when the router is ready. */
-export const startRouterProcess = async (t: ExecutionContext, {targets, limits = '', changes, behindMs}: RouterProcessOptions): Promise<RouterProcess> => {
+export const startRouterProcess = async (t: ExecutionContext, {targets, limits = '', changes, behindMs, whileStarting, mayEnd = false}: RouterProcessOptions): Promise<RouterProcess> => {
 	const store = await startWorksStore();
 	store.put('op', 'config', configOf(7, changes));
 	for (const [id, address] of Object.entries(targets)) {
@@ -84,7 +94,18 @@
 		await exited;
 		await Promise.all([store.close(), rm(folder, {recursive: true})]);
 	});
+	if (whileStarting) {
+		await until(t, () => catchesHangup(pid), 'the listeners stand');
+		await whileStarting(name => {
+			router.kill(name);
+		});
+	}
+
 	await until(t, async () => {
+		if (mayEnd && (router.exitCode !== null || router.signalCode !== null)) {
+			return true;
+		}
+
 		const status = await request(`http://${ready}/v1/readyz`).then(async ({statusCode, body}) => {
 			await body.dump();
 			return statusCode;
