--- a/test/platform/_ending-target.ts
+++ b/test/platform/_ending-target.ts
@@ -29,21 +29,23 @@
 /** The whole body of a response. */
 export const wholeBody = (isStream: boolean, ending: TargetEnding): string => piecesOf(isStream, ending, 0).join('');
 
-export const pathOf = (form: Form, ending: TargetEnding): string => `${form}.${ending}`;
+/** Path of a request; a response whose status is not 200 has no body. */
+export const pathOf = (form: Form, ending: TargetEnding, status = 200): string => `${form}.${ending}.${status}`;
 
-type Request = {readonly method: string; readonly id: string; readonly isStream: boolean; readonly form: Form; readonly ending: TargetEnding; readonly afterEvent: number};
+type Request = {readonly method: string; readonly id: string; readonly isStream: boolean; readonly form: Form; readonly ending: TargetEnding; readonly status: string; readonly afterEvent: number};
 
 const fieldOf = (text: string, name: string): string | undefined => new RegExp(String.raw`^${name}: (\S+)`, 'imv').exec(text)?.[1];
 
 const parseRequest = (text: string): Request => {
 	const [method = '', path = ''] = text.split(' ', 2);
-	const [form, ending] = (path.split('/').at(-1) ?? '').split('.');
+	const [form, ending, status = '200'] = (path.split('/').at(-1) ?? '').split('.');
 	return {
 		method,
 		id: fieldOf(text, 'x-request-id') ?? fieldOf(text, 'x-attempt-id') ?? '',
 		isStream: path.startsWith('/brief/') || path.startsWith('/chat/'),
 		form: forms.find(name => name === form) ?? 'length',
 		ending: targetEndings.find(name => name === ending) ?? 'none',
+		status,
 		afterEvent: Number(fieldOf(text, 'last-event-id') ?? 0),
 	};
 };
@@ -57,13 +59,16 @@
 const firstFormOf = (form: Form, isContinued: boolean): Exclude<Form, 'mixed'> =>
 	form === 'mixed' ? (isContinued ? 'chunks' : 'until-close') : form;
 
-const respond = async (socket: net.Socket, {method, id, isStream, form, ending, afterEvent}: Request): Promise<void> => {
+const respond = async (socket: net.Socket, {
+	method, id, isStream, form, ending, status, afterEvent,
+}: Request): Promise<void> => {
 	const pieces = piecesOf(isStream, ending, afterEvent);
 	const framing = firstFormOf(form, afterEvent > 0);
 	const length = ending === 'endless' ? Number.MAX_SAFE_INTEGER : pieces.join('').length;
-	socket.write(`HTTP/1.1 200 OK\r\nx-attempt-id: ${id}\r\nx-request-id: ${id}\r\nx-server-stamp: s.1\r\n${framingField[framing](length)}${isStream ? 'content-type: text/event-stream\r\n' : ''}\r\n`);
+	const framingLine = status === '204' && framing !== 'until-close' ? '' : framingField[framing](length);
+	socket.write(`HTTP/1.1 ${status} X\r\nx-attempt-id: ${id}\r\nx-request-id: ${id}\r\nx-server-stamp: s.1\r\n${framingLine}${isStream ? 'content-type: text/event-stream\r\n' : ''}\r\n`);
 	const write = (bytes: string): boolean => socket.write(framing === 'chunks' ? `${bytes.length.toString(16)}\r\n${bytes}\r\n` : bytes);
-	if (method === 'HEAD') {
+	if (method === 'HEAD' || status !== '200') {
 		return;
 	}
 
--- a/test/platform/response-endings.test.ts
+++ b/test/platform/response-endings.test.ts
@@ -163,3 +163,26 @@
 		t.deepEqual(await head('length', httpVersion), {length, encoding: undefined, body: ''}); // eslint-disable-line no-await-in-loop
 	}
 });
+
+for (const status of [204, 304]) {
+	test.serial(`a response with status ${status} has no body, and the next one on its connection is whole`, async t => {
+		const router = await startRouter(t);
+		const agent = new Agent({connections: 1});
+		t.teardown(async () => agent.destroy());
+		const callOnOne = async (path: string, id: string) => {
+			const res = await request(`http://${router.callers}/look/${path}`, {
+				dispatcher: agent, headers: {
+					host: HOST, 'x-attempt-id': id, 'x-api-key': KEY, 'x-deadline-ms': '4000',
+				},
+			});
+			return {status: res.statusCode, body: await res.body.text()};
+		};
+
+		for (const [index, form] of forms.entries()) {
+			// eslint-disable-next-line no-await-in-loop
+			t.deepEqual(await callOnOne(pathOf(form, 'none', status), `empty${index}`), {status, body: ''});
+			// eslint-disable-next-line no-await-in-loop
+			t.deepEqual(await callOnOne(pathOf('chunks', 'none'), `whole${index}`), {status: 200, body: wholeBody(false, 'none')});
+		}
+	});
+}
