Hold a router at the reading of its settings in the tests of signals

The test of SIGHUP during the start waited for its listener, which the code before the fix added only after the start, so the test passed there too. The settings are now a pipe that the test fills after the signals.

--- a/test/memory/_router-process.ts
+++ b/test/memory/_router-process.ts
@@ -1,5 +1,5 @@
 /** Runs a router in its own process, as deployed, and reads its resident size from `/proc`. */
-import {spawn} from 'node:child_process';
+import {execFileSync, spawn} from 'node:child_process';
 import {once} from 'node:events';
 import {existsSync, readFileSync} from 'node:fs';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
@@ -46,7 +46,7 @@
 	readonly changes?: Readonly<Record<string, unknown>>;
 	/** Lateness of timers, in milliseconds, above which the router refuses requests. */
 	readonly behindMs?: number;
-	/** Sends signals to the process while it starts, from the moment on at which its listeners stand; the runtime itself, which loads before, has none. */
+	/** Called while the process waits for its settings, once it listens for SIGHUP; the runtime itself, which loads before, has no listener. */
 	readonly whileStarting?: (signal: (name: NodeJS.Signals) => void) => Promise<void>;
 	/** Whether the process may end before it is ready. */
 	readonly mayEnd?: boolean;
@@ -78,7 +78,13 @@
 	const folder = await mkdtemp(path.join(tmpdir(), 'jackdawwood-'));
 	const file = path.join(folder, 'settings.toml');
 	const text = settingsText(addresses, store.address, behindMs).replace('[limits]', `[limits]\n${limits}`).replace('"silent"', '"info"');
-	await writeFile(file, text);
+	if (whileStarting) {
+		// A pipe holds the process at the reading of its settings.
+		execFileSync('mkfifo', [file]);
+	} else {
+		await writeFile(file, text);
+	}
+
 	const runtime = existsSync(DEPLOYED_RUNTIME) ? DEPLOYED_RUNTIME : process.execPath;
 	const router = spawn(runtime, [...RUNTIME_FLAGS, 'dist/platform/main.js'], {
 		stdio: ['ignore', 'pipe', 'inherit'], env: {JACKDAWWOOD_CONFIG: file},
@@ -99,6 +105,9 @@
 		await whileStarting(name => {
 			router.kill(name);
 		});
+		await writeFile(file, text);
+		await rm(file);
+		await writeFile(file, text);
 	}
 
 	await until(t, async () => {
--- a/test/platform/signals.test.ts
+++ b/test/platform/signals.test.ts
@@ -37,9 +37,9 @@
 	t.teardown(async () => target.close());
 	const router = await startRouterProcess(t, {
 		targets: {l1: target.address}, async whileStarting(signal) {
-			for (let count = 0; count < 12; count++) {
-				await delay(50); // eslint-disable-line no-await-in-loop
+			for (let count = 0; count < 5; count++) {
 				signal('SIGHUP');
+				await delay(30); // eslint-disable-line no-await-in-loop
 			}
 		},
 	});
@@ -53,9 +53,9 @@
 test.serial('a stop signal while a router starts ends it in an orderly way', async t => {
 	const router = await startRouterProcess(t, {
 		targets: {}, mayEnd: true, async whileStarting(signal) {
-			for (let count = 0; count < 20; count++) {
+			for (const name of [...signals, ...signals]) {
+				signal(name);
 				await delay(30); // eslint-disable-line no-await-in-loop
-				signal(signals[count % signals.length]!);
 			}
 		},
 	});
