Start the raw servers of three tests in one place

The cutting, ending and endless targets each kept their sockets, listened and closed at the end of the test by the same lines.

--- a/test/platform/_cutting-target.ts
+++ b/test/platform/_cutting-target.ts
@@ -1,7 +1,7 @@
 /** A target on a raw socket whose responses end in the middle of their heads. */
-import {once} from 'node:events';
-import net from 'node:net';
+import type net from 'node:net';
 import {type ExecutionContext} from 'ava';
+import {startRawServer} from './_raw-server.js';
 
 /** How a response says where it ends. */
 export const framings = ['length', 'chunks', 'until-close', 'events'] as const;
@@ -76,10 +76,7 @@
 
 /** Starts the target; resolves to its address. Requests whose path holds no cut get a whole response. */
 export const startCuttingTarget = async (t: ExecutionContext): Promise<string> => {
-	const sockets = new Set<net.Socket>();
-	const server = net.createServer({noDelay: true}, socket => {
-		sockets.add(socket);
-		socket.on('error', () => undefined);
+	const {address} = await startRawServer(t, socket => {
 		socket.on('data', chunk => {
 			const text = chunk.toString('latin1');
 			const id = /x-(?:attempt|request)-id: (\S+)/iv.exec(text)?.[1] ?? '';
@@ -91,15 +88,5 @@
 			}
 		});
 	});
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	t.teardown(() => {
-		for (const socket of sockets) {
-			socket.destroy();
-		}
-
-		server.close();
-	});
-	const address = server.address();
-	return `127.0.0.1:${typeof address === 'object' ? address?.port ?? 0 : 0}`;
+	return address;
 };
--- a/test/platform/_ending-target.ts
+++ b/test/platform/_ending-target.ts
@@ -1,8 +1,8 @@
 /** A target on a raw socket, whose responses have each form of HTTP and end in each way; the path of a request names both. */
-import {once} from 'node:events';
-import net from 'node:net';
+import type net from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type ExecutionContext} from 'ava';
+import {startRawServer} from './_raw-server.js';
 
 /** How a response tells where it ends. `mixed`: an event stream whose later calls use another form than its first one. */
 export const forms = ['length', 'chunks', 'until-close', 'mixed'] as const;
@@ -115,23 +115,10 @@
 
 /** Starts the target; resolves to its address. */
 export const startEndingTarget = async (t: ExecutionContext): Promise<string> => {
-	const sockets = new Set<net.Socket>();
-	const server = net.createServer({noDelay: true}, socket => {
-		sockets.add(socket);
-		socket.on('error', () => undefined);
+	const {address} = await startRawServer(t, socket => {
 		socket.on('data', chunk => {
 			void respond(socket, parseRequest(chunk.toString('latin1')));
 		});
 	});
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	t.teardown(() => {
-		for (const socket of sockets) {
-			socket.destroy();
-		}
-
-		server.close();
-	});
-	const address = server.address();
-	return `127.0.0.1:${typeof address === 'object' ? address?.port ?? 0 : 0}`;
+	return address;
 };
--- a/test/platform/_endless-target.ts
+++ b/test/platform/_endless-target.ts
@@ -1,7 +1,6 @@
 /** A target or store on a raw socket that sends bytes without end, all but one shape of which belong to no body; the path of a request names their shape. */
-import {once} from 'node:events';
-import net from 'node:net';
 import {type ExecutionContext} from 'ava';
+import {startRawServer} from './_raw-server.js';
 
 const PIECE_BYTES = 65_536;
 const repeat = (text: string): string => text.repeat(Math.ceil(PIECE_BYTES / text.length));
@@ -44,15 +43,11 @@
 
 /** Starts the server. Every request whose path does not end with a shape gets `fallback`. */
 export const startEndlessServer = async (t: ExecutionContext, fallback: ShapeName = 'extension'): Promise<EndlessServer> => {
-	const sockets = new Set<net.Socket>();
 	let mostWritten = 0;
 	let longestMs = 0;
-	const server = net.createServer({noDelay: true}, socket => {
-		sockets.add(socket);
+	const {address, sockets} = await startRawServer(t, socket => {
 		let startMs = 0;
-		socket.on('error', () => undefined);
 		socket.on('close', () => {
-			sockets.delete(socket);
 			mostWritten = Math.max(mostWritten, socket.bytesWritten);
 			longestMs = startMs === 0 ? longestMs : Math.max(longestMs, performance.now() - startMs);
 		});
@@ -73,18 +68,8 @@
 			writeMore();
 		});
 	});
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	t.teardown(() => {
-		for (const socket of sockets) {
-			socket.destroy();
-		}
-
-		server.close();
-	});
-	const address = server.address();
 	return {
-		address: `127.0.0.1:${typeof address === 'object' ? address?.port ?? 0 : 0}`,
+		address,
 		mostWritten: () => Math.max(mostWritten, ...[...sockets].map(({bytesWritten}) => bytesWritten)),
 		sending: () => sockets.size,
 		longestMs: () => longestMs,
