Pass on a 304 that declares a length

Callers saw: a 304 with a content-length, as HTTP permits for every method, was refused as AnswerBroken (502).

Cause: the HTTP client compares the declared length with the bytes of the body, except for HEAD, and reports a body that was cut. A 204 or 304 has no body, whatever its headers declare (RFC 9112, section 6.3).

Change: where the client reports that mismatch for a status without a body, the pool reports the end of the response. The client has closed the connection by then; the next request opens another one. `hasNoBody` moves to runtime/http, beside the pool.

--- a/src/runtime/entry/caller-response.ts
+++ b/src/runtime/entry/caller-response.ts
@@ -3,7 +3,7 @@
 import {type ServerResponse} from 'node:http';
 import {type RefusalError} from '../../core/errors/refusal-error.js';
 import {noAccount, type MemoryAccount} from '../memory/memory-accounts.js';
-import {hasNoBody} from './headers.js';
+import {hasNoBody} from '../http/no-body.js';
 import {type Headers} from './job.js';
 import {errorEvent, writeRefusal} from './refuse.js';
 
--- a/src/runtime/entry/headers.ts
+++ b/src/runtime/entry/headers.ts
@@ -1,5 +1,6 @@
 /** Selects the headers that the router forwards. */
 import {type IncomingHttpHeaders} from 'node:http';
+import {hasNoBody} from '../http/no-body.js';
 import {type Headers} from './job.js';
 
 /** Headers that concern one connection only. */
@@ -42,9 +43,6 @@
 	return typeof value === 'string' ? value : undefined;
 };
 
-/** Whether responses with a status have no body. */
-export const hasNoBody = (status: number): boolean => status === 204 || status === 304;
-
 /** Returns the header with the length of a response whose whole body is known. For HEAD it is the length that the target declares for GET. */
 export const lengthHeader = (method: string, {status, headers}: {readonly status: number; readonly headers: IncomingHttpHeaders}, bodyBytes: number): Headers => {
 	const length = method === 'HEAD' ? oneHeader(headers, 'content-length') : String(bodyBytes);
--- a/src/runtime/http/metered-pool.ts
+++ b/src/runtime/http/metered-pool.ts
@@ -1,11 +1,12 @@
 /** A pool of HTTP connections, each of which is closed when its peer sends too many bytes that belong to no body. */
 import {type Socket} from 'node:net';
 import {
-	buildConnector, Client, Pool, type Dispatcher,
+	buildConnector, Client, errors, Pool, type Dispatcher,
 } from 'undici';
 import {createResponseOverhead, type ResponseOverhead} from '../../core/attempt/response-overhead.js';
 import {JackdawwoodError} from '../../core/errors/jackdawwood-error.js';
 import {ResponseOverheadTooLarge} from './http-errors-data.js';
+import {hasNoBody} from './no-body.js';
 
 export type MeteredPoolOptions = Omit<Pool.Options, 'connect' | 'factory'> & {
 	/** Options of new connections. The HTTP client passes those of `net.connect` on. */
@@ -24,30 +25,45 @@
 };
 
 /* eslint-disable @typescript-eslint/no-deprecated -- a pool hands handlers on to its clients in this form */
-/** Returns a handler that also reports the body and the end of the response. */
-const observeBody = (handler: Dispatcher.DispatchHandler, {onBody, onEnd}: {readonly onBody: (bytes: number) => void; readonly onEnd: () => void}): Dispatcher.DispatchHandler => ({
-	onConnect(...args) {
-		handler.onConnect?.(...args);
-	},
-	onUpgrade(...args) {
-		handler.onUpgrade?.(...args);
-	},
-	onResponseStarted() {
-		handler.onResponseStarted?.();
-	},
-	onHeaders: (...args) => handler.onHeaders?.(...args) ?? true,
-	onData(chunk) {
-		onBody(chunk.length);
-		return handler.onData?.(chunk) ?? true;
-	},
-	onComplete(trailers) {
+/**
+ * Returns a handler that also reports the body and the end of the response. A response whose
+ * status has no body may declare a length, which the client takes for a body that was cut.
+ */
+const observeBody = (handler: Dispatcher.DispatchHandler, {onBody, onEnd}: {readonly onBody: (bytes: number) => void; readonly onEnd: () => void}): Dispatcher.DispatchHandler => {
+	let latestStatus = 0;
+	const complete: Dispatcher.DispatchHandler['onComplete'] = trailers => {
 		onEnd();
 		handler.onComplete?.(trailers);
-	},
-	onError(err) {
-		handler.onError?.(err);
-	},
-});
+	};
+
+	return {
+		onConnect(...args) {
+			handler.onConnect?.(...args);
+		},
+		onUpgrade(...args) {
+			handler.onUpgrade?.(...args);
+		},
+		onResponseStarted() {
+			handler.onResponseStarted?.();
+		},
+		onHeaders(status, ...args) {
+			latestStatus = status;
+			return handler.onHeaders?.(status, ...args) ?? true;
+		},
+		onData(chunk) {
+			onBody(chunk.length);
+			return handler.onData?.(chunk) ?? true;
+		},
+		onComplete: complete,
+		onError(err) {
+			if (hasNoBody(latestStatus) && err instanceof errors.ResponseContentLengthMismatchError) {
+				complete([]);
+			} else {
+				handler.onError?.(err);
+			}
+		},
+	};
+};
 /* eslint-enable @typescript-eslint/no-deprecated */
 
 /** One connection of a pool, opened again when needed. */
