Relay event streams whose lines end in CR LF or CR

Callers saw: nothing of an event stream whose lines end in CR LF or CR, until its event counted as one without end.

Cause: events were found by two LF in a row. The standard of server-sent events allows LF, CR LF and CR, mixed, and a byte order mark at the start.

Change: a scanner finds the blank lines that end events in all three forms, also split between chunks. Bytes pass as they came; only the mark of a response that continues another one is removed, since within the caller's stream it would be part of a field's name. Blank lines alone count as no event, and the last id of an event counts.

Result: two property tests (300 runs each, fixed seeds) against a parser written from the standard: mixed line ends, marks, blank lines, any chunks, a break at any byte.

--- a/src/runtime/routing/event-relay.ts
+++ b/src/runtime/routing/event-relay.ts
@@ -4,9 +4,12 @@
  * without sending the caller a byte twice.
  */
 import {Buffer} from 'node:buffer';
+import {createEventEnds} from './event-ends.js';
 
-const END_OF_EVENT = '\n\n';
-const ID_LINE = /^id: ?(.*)$/mv;
+/** The byte order mark that may precede a stream, in Latin-1. */
+const BYTE_ORDER_MARK = '\u00EF\u00BB\u00BF';
+const ID_LINE = /^id: ?(.*)$/gmv;
+const BLANK_LINES = /^[\r\n]*$/v;
 
 export type EventRelay = {
 	/** Accepts a chunk. Returns the bytes of the events that it completes, without those that the caller already has, or `undefined` if it completes none. */
@@ -24,7 +27,8 @@
 	readonly events: () => number;
 };
 
-const idOf = (event: string): string | undefined => ID_LINE.exec(event)?.[1];
+/** Returns an event's id; its last line of that name counts. */
+const idOf = (event: string): string | undefined => [...event.matchAll(ID_LINE)].at(-1)?.[1];
 
 /** Whether an event's id is not above that of the last relayed event. An id that is not a number never counts as a duplicate. */
 const isDuplicate = (id: string | undefined, lastId: string | undefined): boolean =>
@@ -40,6 +44,10 @@
 	let countsEvents = true;
 	let isFirstOfResponse = true;
 	let isBroken = false;
+	let isAtStart = true;
+	/** Whether the caller has bytes of an earlier event. */
+	let hasRelayed = false;
+	const eventEnds = createEventEnds();
 
 	/** Checks the first new event of a response against the last event before it. */
 	const checkSequence = (id: string | undefined): void => {
@@ -60,38 +68,50 @@
 		}
 	};
 
-	/** Whether an event ends in the chunk, or across the boundary between the buffered bytes and the chunk. */
-	const hasEnd = (chunk: Uint8Array): boolean => {
-		const lastByte = incomplete.at(-1)?.subarray(-1) ?? new Uint8Array();
-		return Buffer.concat([lastByte, chunk]).includes(END_OF_EVENT);
+	/** Returns what the caller gets of an event: all of it, or nothing if the caller has it. Blank lines alone are no event. */
+	const relayEvent = (event: string): string => {
+		const isMarked = isAtStart && event.startsWith(BYTE_ORDER_MARK);
+		isAtStart = false;
+		const text = isMarked ? event.slice(BYTE_ORDER_MARK.length) : event;
+		const id = idOf(text);
+		if (isDuplicate(id, lastId)) {
+			return '';
+		}
+
+		if (!BLANK_LINES.test(text)) {
+			checkSequence(id);
+			lastId = id ?? lastId;
+			count++;
+		}
+
+		// Within the caller's stream, the mark would be part of a field's name.
+		return hasRelayed ? text : event;
 	};
 
 	return {
 		feed(chunk) {
-			if (!hasEnd(chunk)) {
+			const ends = eventEnds.scan(chunk);
+			const end = ends.at(-1);
+			if (end === undefined) {
 				buffer(chunk);
 				return undefined;
 			}
 
-			const bytes = Buffer.concat([...incomplete, chunk]);
-			const end = bytes.lastIndexOf(END_OF_EVENT);
+			const complete = Buffer.concat([...incomplete, chunk.subarray(0, end)]);
+			const text = complete.toString('latin1');
+			let out = '';
+			let start = 0;
+			for (const chunkEnd of ends) {
+				const eventEnd = incompleteBytes + chunkEnd;
+				out += relayEvent(text.slice(start, eventEnd));
+				hasRelayed ||= out !== '';
+				start = eventEnd;
+			}
+
 			incomplete = [];
 			incompleteBytes = 0;
-			const complete = bytes.subarray(0, end + END_OF_EVENT.length);
-			buffer(bytes.subarray(end + END_OF_EVENT.length));
-			const events = complete.toString('latin1').split(END_OF_EVENT).slice(0, -1);
-			const newEvents = events.filter(event => {
-				const id = idOf(event);
-				if (isDuplicate(id, lastId)) {
-					return false;
-				}
-
-				checkSequence(id);
-				lastId = id ?? lastId;
-				count++;
-				return true;
-			});
-			return newEvents.length === events.length ? complete : Buffer.from(newEvents.map(event => event + END_OF_EVENT).join(''), 'latin1');
+			buffer(chunk.subarray(end));
+			return out.length === text.length ? complete : Buffer.from(out, 'latin1');
 		},
 		lastId: () => lastId,
 		hasIncompleteEvent: () => incompleteBytes > 0,
@@ -100,6 +120,8 @@
 			incomplete = [];
 			incompleteBytes = 0;
 			isFirstOfResponse = true;
+			isAtStart = true;
+			eventEnds.reset();
 		},
 		isBrokenSequence: () => isBroken,
 		events: () => count,
--- a/test/routing/event-relay.test.ts
+++ b/test/routing/event-relay.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import {createEventRelay} from '../../src/runtime/routing/event-relay.js';
+import {parseEvents} from './_parse-events.js';
 
 const eventText = (id: number) => `id: ${id}\ndata: word ${id} é\n\n`;
 const streamOf = (first: number, last: number) => Array.from({length: last - first + 1}, (_, index) => eventText(first + index)).join('');
@@ -73,3 +74,67 @@
 	t.true(isBrokenAfter([7, 14], undefined));
 	t.false(isBrokenAfter([], 5), 'the first response to the caller');
 });
+
+const lineEnd = fc.constantFrom('\n', '\r\n', '\r');
+const ends = fc.array(lineEnd, {minLength: 1, maxLength: 7});
+const sizes = fc.array(fc.integer({min: 0, max: 9}), {maxLength: 60});
+
+type Stream = {readonly hasMark: boolean; readonly ends: readonly string[]; readonly blanks: number};
+const stream: fc.Arbitrary<Stream> = fc.record({hasMark: fc.boolean(), ends, blanks: fc.integer({min: 0, max: 2})});
+
+/** Returns a stream of events whose lines end in turn as given, with a mark before the first one and blank lines between them. */
+const markedStreamOf = (first: number, last: number, {hasMark, ends, blanks}: Stream): Uint8Array => {
+	const lines = Array.from({length: last - first + 1}, (_, index) => [': note', `id: ${first + index}`, `data: é${first + index}`, 'data', '', ...Array.from({length: blanks}, () => '')]).flat();
+	let text = hasMark ? '\uFEFF' : '';
+	for (const [index, line] of lines.entries()) {
+		const end = ends[index % ends.length] ?? '\n';
+		// An LF after a CR would end the same line, not a blank one.
+		text += line === '' && end === '\n' && text.endsWith('\r') ? '\r' : line + end;
+	}
+
+	return Buffer.from(text);
+};
+
+const ids = (bytes: Uint8Array): readonly string[] => parseEvents(bytes).map(({id}) => id);
+const idsUpTo = (last: number): readonly string[] => Array.from({length: last}, (_, index) => String(index + 1));
+
+// Guards against streams of which nothing arrives, because their lines end in CR LF or CR.
+test('a stream whose lines end in LF, CR LF or CR is relayed as it came, event by event', t => {
+	fc.assert(fc.property(stream, sizes, (form, sizes) => {
+		const relay = createEventRelay();
+		const bytes = markedStreamOf(1, 5, form);
+		let relayed = 0;
+		let out: Uint8Array = new Uint8Array();
+		let read = 0;
+		for (const chunk of splitIntoChunks(bytes, sizes)) {
+			out = Buffer.concat([out, relay.feed(chunk) ?? new Uint8Array()]);
+			read += chunk.length;
+			// An event that has arrived whole is passed on at once, and no part of another one.
+			const events = parseEvents(out);
+			t.deepEqual(events, parseEvents(bytes.subarray(0, read)));
+			t.true(events.length >= relayed);
+			relayed = events.length;
+		}
+
+		t.deepEqual(Buffer.from(out), Buffer.from(bytes));
+		t.is(relay.lastId(), '5');
+		t.is(relay.events(), 5);
+		t.false(relay.hasIncompleteEvent());
+		t.false(relay.isBrokenSequence());
+	}), {seed: 3, numRuns: 300});
+});
+
+test('a stream that breaks at any byte is resumed by one with other line ends, and every event arrives once', t => {
+	const broken = fc.record({share: fc.double({min: 0, max: 1, noNaN: true}), overlap: fc.integer({min: 0, max: 3})});
+	fc.assert(fc.property(stream, stream, sizes, broken, (before, after, sizes, {share, overlap}) => {
+		const relay = createEventRelay();
+		const whole = markedStreamOf(1, 9, before);
+		const first = splitIntoChunks(whole.subarray(0, Math.floor(whole.length * share)), sizes).map(chunk => relay.feed(chunk) ?? new Uint8Array());
+		relay.startResponse();
+		const next = Math.min(9, Math.max(1, Number(relay.lastId() ?? 0) + 1 - overlap));
+		const rest = splitIntoChunks(markedStreamOf(next, 9, after), sizes).map(chunk => relay.feed(chunk) ?? new Uint8Array());
+		t.deepEqual(ids(Buffer.concat([...first, ...rest])), idsUpTo(9));
+		t.false(relay.hasIncompleteEvent());
+		t.false(relay.isBrokenSequence());
+	}), {seed: 4, numRuns: 300});
+});
