Use targets again whose rows expired after a restore of the store

Cause: what a VM learned in the present era, that a row expired, counted as a contradiction of the same target's next row. The row was withheld until its next change, which no feed shows if it is the sequence number alone; the reads that show it ended 20 s after the restore, or at the first one that found nothing withheld.

Change: only knowledge of an earlier era counts against a row.

Result: three tests of the source fail before and pass now (the two orders of expiry, and reads that were refused for 4 s after the restore).

--- a/src/core/store-watch/restored-targets.ts
+++ b/src/core/store-watch/restored-targets.ts
@@ -1,8 +1,9 @@
 /**
  * Decides which rows of targets count after the store has come back from an older copy. Such a
  * copy may show a target in service that has left since, or announced that it will. The target
- * itself writes its row again if it lives, so a row that contradicts what this VM knows is
- * withheld until the row has changed since it was first read in the new era.
+ * itself writes its row again if it lives, so a row that contradicts what this VM knows from an
+ * earlier era is withheld until the row has changed since it was first read in the new era. A row
+ * that was missing in the new era and is back was written in it, so it counts.
  *
  * Fault pattern: a store that loses its last seconds while targets start, drain and leave.
  */
@@ -15,6 +16,8 @@
 	readonly record: TargetRecord;
 	/** Time at which the target left; undefined while it is in use. */
 	readonly goneMs: number | undefined;
+	/** Era of the store in which its row was last accepted or missing. */
+	readonly era: number;
 };
 
 const isSameReport = (a: TargetRecord, b: TargetRecord): boolean => a.bornMs === b.bornMs && a.sequence === b.sequence;
@@ -23,7 +26,8 @@
 	readonly #known = new Map<string, KnownTarget>();
 	/** First record of each withheld target in the present era. */
 	readonly #withheld = new Map<string, TargetRecord>();
-	#isRestored = false;
+	/** Number of times that the store has come back from an older copy. */
+	#era = 0;
 
 	/** Whether any row is withheld. */
 	get hasWithheld(): boolean {
@@ -32,14 +36,14 @@
 
 	/** Handles the beginning of a new era of the store. */
 	startEra(): void {
-		this.#isRestored = true;
+		this.#era++;
 		this.#withheld.clear();
 	}
 
 	/** Returns whether a record counts as the target's own report, and records it if so. */
 	accept(record: TargetRecord): boolean {
 		const known = this.#known.get(record.id);
-		if (this.#isRestored && known && this.#contradicts(record, known)) {
+		if (known && known.era < this.#era && this.#contradicts(record, known)) {
 			const first = this.#withheld.get(record.id);
 			if (!first || isSameReport(first, record)) {
 				this.#withheld.set(record.id, record);
@@ -48,13 +52,30 @@
 		}
 
 		this.#withheld.delete(record.id);
-		this.#known.set(record.id, {record, goneMs: undefined});
+		this.#known.set(record.id, {record, goneMs: undefined, era: this.#era});
 		return true;
 	}
 
+	/** Records that the store has no row of a target in the present era. */
+	noteMissing(id: string): void {
+		this.#withheld.delete(id);
+		const known = this.#known.get(id);
+		if (known) {
+			this.#known.set(id, {...known, era: this.#era});
+		}
+	}
+
+	/** Records which targets have a row, after a read of the whole table in the present era. */
+	noteListed(ids: ReadonlySet<string>): void {
+		for (const id of this.#known.keys()) {
+			if (!ids.has(id)) {
+				this.noteMissing(id);
+			}
+		}
+	}
+
 	/** Records that a target has left. */
 	noteGone(id: string, nowMs: number): void {
-		this.#withheld.delete(id);
 		for (const [other, {goneMs = Infinity}] of this.#known) {
 			if (goneMs < nowMs - GONE_MEMORY_MS) {
 				this.#known.delete(other);
--- a/standins/works/works-store.ts
+++ b/standins/works/works-store.ts
@@ -28,6 +28,8 @@
 	readonly address: string;
 	/** Writes a row with a JSON value, as operators and targets do. */
 	readonly put: (table: string, key: string, value: unknown) => void;
+	/** Writes a row of which only the sequence number changes: reads show it, but it has no new version and feeds do not report it. */
+	readonly renew: (table: string, key: string, value: unknown) => void;
 	/** Writes a row with any bytes. */
 	readonly putBytes: (table: string, key: string, value: Uint8Array) => void;
 	readonly drop: (table: string, key: string) => void;
@@ -232,6 +234,12 @@
 		put(table, key, value) {
 			write(table, key, Buffer.from(JSON.stringify(value)).toString('base64'));
 		},
+		renew(table, key, value) {
+			const row = rows.get(`${table}/${key}`);
+			if (row) {
+				rows.set(`${table}/${key}`, {...row, value: Buffer.from(JSON.stringify(value)).toString('base64')});
+			}
+		},
 		putBytes(table, key, value) {
 			write(table, key, Buffer.from(value).toString('base64'));
 		},
--- a/test/platform/restored-store.test.ts
+++ b/test/platform/restored-store.test.ts
@@ -87,6 +87,58 @@
 	t.false(updates.slice(before).some(isTarget('left')));
 });
 
+// Guards against targets that stay withheld for good once their rows expired after a restore (review/5).
+test('a target whose row expires long after a restore is in use again once it is back', async t => {
+	const {store, updates} = await startSource(t, store => {
+		store.put('servers', 'silent', entryOf({sequence: 7}));
+	});
+	store.keepCopy();
+	store.restore();
+	store.put('servers', 'silent', entryOf({sequence: 8}));
+	await delay(GRACE_MS);
+	store.drop('servers', 'silent');
+	await until(t, () => updates.some(isGone('silent')), 'gone reported');
+	const before = updates.length;
+	store.put('servers', 'silent', entryOf({sequence: 12}));
+	await delay(1000);
+	t.true(updates.slice(before).some(isTarget('silent')), 'back with the same time of its start');
+});
+
+test('a target that was gone and whose row of the copy expires is in use again once it writes its row', async t => {
+	const {store, updates} = await startSource(t, store => {
+		store.put('servers', 'cut', entryOf({sequence: 7}));
+	});
+	store.keepCopy();
+	store.drop('servers', 'cut');
+	await until(t, () => updates.some(isGone('cut')), 'gone reported');
+	const before = updates.length;
+	store.restore();
+	await delay(GRACE_MS);
+	store.drop('servers', 'cut');
+	await delay(500);
+	t.false(updates.slice(before).some(isTarget('cut')), 'the row of the copy is not the target\'s word');
+	store.put('servers', 'cut', entryOf({sequence: 7}));
+	await until(t, () => updates.slice(before).some(isTarget('cut')), 'its row of the new era counts');
+});
+
+test('a target that was draining reports itself in a new era whose first reads were refused', async t => {
+	const {store, updates} = await startSource(t, store => {
+		store.put('servers', 'drains', entryOf({sequence: 7}));
+	});
+	store.keepCopy();
+	store.put('servers', 'drains', entryOf({sequence: 9, state: 'draining'}));
+	await until(t, () => updates.some(isTarget('drains', ({isDraining}) => isDraining)), 'draining reported');
+	const before = updates.length;
+	store.restore();
+	store.setMode('unavailable');
+	await delay(4000);
+	store.setMode('well');
+	await delay(GRACE_MS);
+	t.false(updates.slice(before).some(isTarget('drains', ({isDraining}) => !isDraining)), 'the row of the copy is not the target\'s word');
+	store.renew('servers', 'drains', entryOf({sequence: 8}));
+	await until(t, () => updates.slice(before).some(isTarget('drains', ({isDraining}) => !isDraining)), 'its report of the new era counts');
+});
+
 test('a data centre stays out while its row is missing from a restored store, until the operator has written the others again', async t => {
 	const {store, updates} = await startSource(t, store => {
 		store.put('op', 'config', configOf(3));
