Hold an incomplete event in one buffer, and account for all of it

Seen: a target that sends single bytes made the router hold an object for each byte of an event. 10 streams of 262,144 bytes each took 322.7 MB, of which the memory account showed 2.6 MB, so the bound on held memory did not end any of them.

Change: the incomplete event lies in one buffer that doubles when it is full, and the account has the size of the buffer. The limit of an event is still its bytes.

The new test (20 streams of 65,536 single bytes) allows 32 MB for uncollected objects beside the account.

--- a/src/runtime/routing/event-relay.ts
+++ b/src/runtime/routing/event-relay.ts
@@ -9,6 +9,7 @@
 /** The byte order mark that may precede a stream, in Latin-1. */
 const BYTE_ORDER_MARK = '\u00EF\u00BB\u00BF';
 const ID_LINE = /^id: ?(.*)$/gmv;
+const NOTHING = Buffer.alloc(0);
 const BLANK_LINES = /^[\r\n]*$/v;
 
 export type EventRelay = {
@@ -19,6 +20,8 @@
 	/** Whether bytes of an incomplete event are buffered. */
 	readonly hasIncompleteEvent: () => boolean;
 	readonly incompleteBytes: () => number;
+	/** Returns the bytes of memory that the buffer of the incomplete event takes. */
+	readonly heldBytes: () => number;
 	/** Begins the response of another target: discards a buffered incomplete event. */
 	readonly startResponse: () => void;
 	/** Whether the present response does not continue the stream: an event has no id, or follows a gap, although those before had ids without gaps. */
@@ -35,8 +38,8 @@
 	id !== undefined && lastId !== undefined && Number(id) <= Number(lastId);
 
 export const createEventRelay = (afterEvent?: string): EventRelay => {
-	/** Chunks of the incomplete event. They are joined only when the event is complete, because joining very many chunks one by one would copy the first ones again and again. */
-	let incomplete: Uint8Array[] = [];
+	/** Buffer whose first bytes are the incomplete event. */
+	let held = NOTHING;
 	let incompleteBytes = 0;
 	let lastId: string | undefined = afterEvent;
 	let count = 0;
@@ -61,11 +64,22 @@
 		isFirstOfResponse = false;
 	};
 
+	/** Adds bytes to the incomplete event. The buffer doubles when it is full, so that an event of many small chunks is copied only a few times. */
 	const buffer = (bytes: Uint8Array): void => {
-		if (bytes.length > 0) {
-			incomplete.push(Buffer.from(bytes));
-			incompleteBytes += bytes.length;
+		const needed = incompleteBytes + bytes.length;
+		if (needed > held.length) {
+			const larger = Buffer.allocUnsafeSlow(Math.max(needed, held.length * 2));
+			larger.set(held.subarray(0, incompleteBytes));
+			held = larger;
 		}
+
+		held.set(bytes, incompleteBytes);
+		incompleteBytes = needed;
+	};
+
+	const release = (): void => {
+		held = NOTHING;
+		incompleteBytes = 0;
 	};
 
 	/** Returns what the caller gets of an event: all of it, or nothing if the caller has it. Blank lines alone are no event. */
@@ -97,7 +111,7 @@
 				return undefined;
 			}
 
-			const complete = Buffer.concat([...incomplete, chunk.subarray(0, end)]);
+			const complete = Buffer.concat([held.subarray(0, incompleteBytes), chunk.subarray(0, end)]);
 			const text = complete.toString('latin1');
 			let out = '';
 			let start = 0;
@@ -108,17 +122,16 @@
 				start = eventEnd;
 			}
 
-			incomplete = [];
-			incompleteBytes = 0;
+			release();
 			buffer(chunk.subarray(end));
 			return out.length === text.length ? complete : Buffer.from(out, 'latin1');
 		},
 		lastId: () => lastId,
 		hasIncompleteEvent: () => incompleteBytes > 0,
 		incompleteBytes: () => incompleteBytes,
+		heldBytes: () => held.length,
 		startResponse() {
-			incomplete = [];
-			incompleteBytes = 0;
+			release();
 			isFirstOfResponse = true;
 			isAtStart = true;
 			eventEnds.reset();
--- a/src/runtime/routing/relay-call.ts
+++ b/src/runtime/routing/relay-call.ts
@@ -419,7 +419,7 @@
 		const hadIncompleteEvent = events.hasIncompleteEvent();
 		const completeEvents = events.feed(chunk);
 		if (hadIncompleteEvent || events.hasIncompleteEvent()) {
-			callerResponse.account.set('collected', events.incompleteBytes());
+			callerResponse.account.set('collected', events.heldBytes());
 		}
 
 		// Only complete events count as progress, since a target may send single bytes for ever.
--- a/test/routing/event-relay.test.ts
+++ b/test/routing/event-relay.test.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import process from 'node:process';
 import test from 'ava';
 import fc from 'fast-check';
 import {createEventRelay} from '../../src/runtime/routing/event-relay.js';
@@ -47,6 +48,29 @@
 	t.notThrows(check);
 });
 
+// Guards against memory that the account does not show: each small chunk kept in an object of its own.
+test('events that arrive in single bytes take as much memory as is accounted for', t => {
+	const byte = Buffer.from('x');
+	const used = () => {
+		const {heapUsed, external} = process.memoryUsage();
+		return heapUsed + external;
+	};
+
+	const before = used();
+	const relays = Array.from({length: 20}, () => createEventRelay());
+	for (const relay of relays) {
+		for (let count = 0; count < 65_536; count++) {
+			relay.feed(byte);
+		}
+	}
+
+	const grown = used() - before;
+	const accounted = relays.reduce((sum, relay) => sum + relay.heldBytes(), 0);
+	// Objects that were not collected yet come on top.
+	t.true(grown <= accounted + 32_000_000, `${grown} bytes for ${accounted} accounted`);
+	t.true(relays.every(relay => relay.heldBytes() <= 2 * relay.incompleteBytes()));
+});
+
 test('an incomplete event at the end of a stream is reported', t => {
 	const relay = createEventRelay();
 	t.is(relay.feed(Buffer.from('id: 1\ndata: half')), undefined);
