Apply the limits of a new configuration to the next requests

Callers saw: after max_body_bytes was raised, a body within it still got 413; after max_header_bytes was raised, headers within it still got 431. Lowered limits had no effect either.

Cause: bodies and headers were limited by the settings of the process, read once. Of the limits of a configuration only the idle timeout was used.

Change: each request is held to the limits in force when it begins.

--- a/src/runtime/routing/serve-request.ts
+++ b/src/runtime/routing/serve-request.ts
@@ -16,6 +16,7 @@
 import {waitForSocketReads} from '../entry/wait-for-socket-reads.js';
 import {refuseAtOnce} from '../entry/quick-refusal.js';
 import {readBody} from '../entry/read-body.js';
+import {checkHeaders} from './caller-limits.js';
 import {createJob, routeRequest} from './route-request.js';
 import {type FleetView} from './fleet-view.js';
 import {type CallerWire, type RoutedRequestHead} from './types.js';
@@ -108,8 +109,10 @@
 	}, account);
 	attempts.metrics.openRequests.inc();
 	try {
+		const limits = {...attempts.limits, ...view.activeConfig()?.config.limits};
+		checkHeaders(req, limits);
 		const routed = routeRequest(view, head, pathOf(req));
-		const body = await readBody(req, attempts.limits, {account, refusal: () => memoryRefusal(random, head.callerTimeoutMs)});
+		const body = await readBody(req, limits, {account, refusal: () => memoryRefusal(random, head.callerTimeoutMs)});
 		if (!account.mayHold(body.length)) {
 			throw memoryRefusal(random, head.callerTimeoutMs);
 		}
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -29,6 +29,7 @@
 import {type Metrics} from '../observe/metrics.js';
 import {FleetLoads} from '../../core/placement/fleet-loads.js';
 import {createRolloutTask, scheduleByTimer, type RolloutTask} from '../rollout/rollout-task.js';
+import {createConnectionLimits, parserBytes} from './caller-limits.js';
 import {createFleetView} from './fleet-view.js';
 import {startLoadExchange, type LoadExchange} from './load-exchange.js';
 import {createPlacementScheduler, type PlacementScheduler} from './placement-scheduler.js';
@@ -100,7 +101,7 @@
 };
 
 const createCallersServer = ({limits}: RoutingOptions): http.Server => http.createServer({
-	maxHeaderSize: limits.headerBytes * 2,
+	maxHeaderSize: parserBytes(limits),
 	headersTimeout: limits.readTimeoutMs,
 	requestTimeout: limits.readTimeoutMs * 2,
 	connectionsCheckingInterval: SLOW_CHECK_MS,
@@ -298,6 +299,7 @@
 	};
 	const servers = Array.from({length: canSharePort() ? CALLERS_LISTENERS : 1}, () => createCallersServer(options));
 	const serverStops = servers.map(server => createServerStop(server, limits.readTimeoutMs));
+	const connectionLimits = createConnectionLimits(servers, limits);
 	let isLeaving = false;
 	let wasReady = false;
 	const serve = async (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> => {
@@ -310,6 +312,7 @@
 		server.on('connection', inputAge.noteInput);
 		server.on('request', (req, res) => {
 			inputAge.noteInput();
+			connectionLimits.onRequest(req, res);
 			void serve(req, res);
 		});
 	}
@@ -336,9 +339,7 @@
 			quarantine.onFleetUpdate(change);
 			if (change.kind === 'config') {
 				metrics.configVersion.set(change.config.version);
-				for (const server of servers) {
-					server.keepAliveTimeout = change.config.limits.idleTimeoutMs;
-				}
+				connectionLimits.apply(change.config.limits);
 			}
 		}
 
--- a/standins/works/works-target.ts
+++ b/standins/works/works-target.ts
@@ -66,6 +66,8 @@
 	readonly crash?: TargetCrash;
 };
 
+/** Most bytes of a request's headers, above the limits that tests set for callers. */
+const MAX_HEADER_BYTES = 262_144;
 /** Requests that end the target's process once it has begun to answer them. */
 export type TargetCrash = {
 	/** Whether a request with these headers ends the process. */
@@ -265,7 +267,7 @@
 		}
 	};
 
-	const server = http.createServer((req, res) => {
+	const server = http.createServer({maxHeaderSize: MAX_HEADER_BYTES}, (req, res) => {
 		void serve(req, res);
 	});
 	const address = await listen(server, {host: '127.0.0.1', port: 0});
