--- a/src/runtime/http/metered-pool.ts
+++ b/src/runtime/http/metered-pool.ts
@@ -1,13 +1,16 @@
 /** A pool of HTTP connections, each of which is closed when its peer sends too many bytes that belong to no body. */
 import {type Socket} from 'node:net';
 import {
-	buildConnector, Client, errors, Pool, type Dispatcher,
+	buildConnector, Client, Pool, type Dispatcher,
 } from 'undici';
 import {createResponseOverhead, type ResponseOverhead} from '../../core/attempt/response-overhead.js';
 import {JackdawwoodError} from '../../core/errors/jackdawwood-error.js';
 import {ResponseOverheadTooLarge} from './http-errors-data.js';
 import {hasNoBody} from './no-body.js';
 
+/** Code of the client's error for a body whose length is not the declared one. */
+const BODY_LENGTH_MISMATCH = 'UND_ERR_RES_CONTENT_LENGTH_MISMATCH';
+
 export type MeteredPoolOptions = Omit<Pool.Options, 'connect' | 'factory'> & {
 	/** Options of new connections. The HTTP client passes those of `net.connect` on. */
 	readonly connect?: buildConnector.BuildOptions & {readonly highWaterMark?: number};
@@ -56,7 +59,7 @@
 		},
 		onComplete: complete,
 		onError(err) {
-			if (hasNoBody(latestStatus) && err instanceof errors.ResponseContentLengthMismatchError) {
+			if (hasNoBody(latestStatus) && (err as NodeJS.ErrnoException).code === BODY_LENGTH_MISMATCH) {
 				complete([]);
 			} else {
 				handler.onError?.(err);
