Leave the requests of jackdawwood-router to their end at repeated signals

Seen: a second SIGTERM or SIGINT ended the process of the product's own interface with code 7, SIGHUP ended it at once, and any signal did while it loaded.

Cause: the second signal did so by design, SIGHUP had no listener, and the others got theirs after the program had loaded.

The first stop signal begins the stop; later ones and SIGHUP have no effect, so only SIGKILL ends accepted work. Exit code 7 is gone.

--- a/src/cli/exit-codes.ts
+++ b/src/cli/exit-codes.ts
@@ -14,8 +14,6 @@
 export const EXIT_PARTIAL = 5;
 /** The operator's token is missing or unknown. */
 export const EXIT_UNAUTHENTICATED = 6;
-/** A second signal ended the router before its requests had finished. */
-export const EXIT_FORCED = 7;
 /** An internal error of the program. */
 export const EXIT_INTERNAL = 70;
 
@@ -28,5 +26,4 @@
   ${EXIT_UNREACHABLE}   the router cannot be reached, or did not answer in time
   ${EXIT_PARTIAL}   the answer lacks a part of the fleet
   ${EXIT_UNAUTHENTICATED}   the operator's token is missing or unknown
-  ${EXIT_FORCED}   a second signal ended the router before its requests had finished
   ${EXIT_INTERNAL}  a failure inside the program`;
--- a/src/cli/router/help.ts
+++ b/src/cli/router/help.ts
@@ -6,7 +6,7 @@
   $ jackdawwood-router --settings FILE
 
 Runs the router of one VM until SIGTERM or SIGINT, then finishes its requests and exits.
-A second signal ends it at once.
+Later signals have no effect, and SIGHUP never has; SIGKILL ends it at once.
 
 Options
   --settings FILE  settings of this VM, TOML
