Find line ends of event streams by search instead of byte by byte

Change: line ends are searched, and an id only where "id:" occurs.

The property tests pass unchanged.

--- a/src/runtime/routing/event-ends.ts
+++ b/src/runtime/routing/event-ends.ts
@@ -5,6 +5,29 @@
 const LF = 0x0A;
 const CR = 0x0D;
 
+/** Returns the offset of a byte, or the length if it does not occur. */
+const indexOf = (bytes: Uint8Array, byte: number, from: number): number => {
+	const index = bytes.indexOf(byte, from);
+	return index === -1 ? bytes.length : index;
+};
+
+/** Returns the offsets of the bytes LF and CR, in order. */
+const lineEndsIn = (bytes: Uint8Array): readonly number[] => {
+	const offsets: number[] = [];
+	let lf = indexOf(bytes, LF, 0);
+	let cr = indexOf(bytes, CR, 0);
+	while (lf !== cr) {
+		offsets.push(Math.min(lf, cr));
+		if (lf < cr) {
+			lf = indexOf(bytes, LF, lf + 1);
+		} else {
+			cr = indexOf(bytes, CR, cr + 1);
+		}
+	}
+
+	return offsets;
+};
+
 export type EventEnds = {
 	/** Returns the offsets in the chunk behind the blank lines that end in it. If a chunk ends between the CR and the LF of a blank line, the LF ends one more event, without a byte else. */
 	readonly scan: (chunk: Uint8Array) => readonly number[];
@@ -18,39 +41,48 @@
 	/** Whether the last byte ended an event. */
 	let isAtEnd = false;
 
+	const reset = (): void => {
+		isLineBlank = true;
+		isAfterCr = false;
+		isAtEnd = false;
+	};
+
+	const noteText = (): void => {
+		reset();
+		isLineBlank = false;
+	};
+
 	return {
 		scan(chunk) {
 			const ends: number[] = [];
-			for (const [index, byte] of chunk.entries()) {
-				if (byte === LF && isAfterCr) {
-					isAfterCr = false;
-					if (isAtEnd) {
-						if (ends.at(-1) === index) {
-							ends.pop();
-						}
-
-						ends.push(index + 1);
-					}
-				} else if (byte === LF || byte === CR) {
-					isAfterCr = byte === CR;
+			let start = 0;
+			for (const offset of lineEndsIn(chunk)) {
+				if (offset > start) {
+					noteText();
+				}
+
+				start = offset + 1;
+				const isSecondHalf = isAfterCr && chunk[offset] === LF;
+				isAfterCr = chunk[offset] === CR;
+				if (!isSecondHalf) {
 					isAtEnd = isLineBlank;
 					isLineBlank = true;
-					if (isAtEnd) {
-						ends.push(index + 1);
-					}
-				} else {
-					isLineBlank = false;
-					isAfterCr = false;
-					isAtEnd = false;
+				} else if (ends.at(-1) === offset) {
+					// The LF belongs to the event that its CR ended.
+					ends.pop();
+				}
+
+				if (isAtEnd) {
+					ends.push(start);
 				}
 			}
 
+			if (start < chunk.length) {
+				noteText();
+			}
+
 			return ends;
 		},
-		reset() {
-			isLineBlank = true;
-			isAfterCr = false;
-			isAtEnd = false;
-		},
+		reset,
 	};
 };
--- a/src/runtime/routing/event-relay.ts
+++ b/src/runtime/routing/event-relay.ts
@@ -8,7 +8,8 @@
 
 /** The byte order mark that may precede a stream, in Latin-1. */
 const BYTE_ORDER_MARK = '\u00EF\u00BB\u00BF';
-const ID_LINE = /^id: ?(.*)$/gmv;
+const ID_FIELD = 'id:';
+const ID_VALUE = /^ ?(?<id>[^\r\n]*)/v;
 const NOTHING = Buffer.alloc(0);
 const BLANK_LINES = /^[\r\n]*$/v;
 
@@ -31,7 +32,17 @@
 };
 
 /** Returns an event's id; its last line of that name counts. */
-const idOf = (event: string): string | undefined => [...event.matchAll(ID_LINE)].at(-1)?.[1];
+const idOf = (event: string): string | undefined => {
+	let id: string | undefined;
+	for (let at = event.indexOf(ID_FIELD); at !== -1; at = event.indexOf(ID_FIELD, at + 1)) {
+		const before = event[at - 1] ?? '\n';
+		if (before === '\n' || before === '\r') {
+			id = ID_VALUE.exec(event.slice(at + ID_FIELD.length))?.groups?.id;
+		}
+	}
+
+	return id;
+};
 
 /** Whether an event's id is not above that of the last relayed event. An id that is not a number never counts as a duplicate. */
 const isDuplicate = (id: string | undefined, lastId: string | undefined): boolean =>
