--- a/test/platform/restored-store.test.ts
+++ b/test/platform/restored-store.test.ts
@@ -59,7 +59,8 @@
 	t.false(updates.some(isGone('writes')));
 });
 
-test('a target that was draining stays so while a restored store shows it in service, until it reports itself', async t => {
+/** Restores a copy that shows a target in service which has announced since that it leaves. `isInService`: whether it was reported in service after the restore. */
+const restoreDraining = async (t: ExecutionContext) => {
 	const {store, updates} = await startSource(t, store => {
 		store.put('servers', 'drains', entryOf({sequence: 7}));
 	});
@@ -68,10 +69,15 @@
 	await until(t, () => updates.some(isTarget('drains', ({isDraining}) => isDraining)), 'draining reported');
 	const before = updates.length;
 	store.restore();
+	return {store, isInService: () => updates.slice(before).some(isTarget('drains', ({isDraining}) => !isDraining))};
+};
+
+test('a target that was draining stays so while a restored store shows it in service, until it reports itself', async t => {
+	const {store, isInService} = await restoreDraining(t);
 	await delay(GRACE_MS);
-	t.false(updates.slice(before).some(isTarget('drains', ({isDraining}) => !isDraining)), 'the row of the copy is not the target\'s word');
+	t.false(isInService(), 'the row of the copy is not the target\'s word');
 	store.put('servers', 'drains', entryOf({sequence: 8}));
-	await until(t, () => updates.slice(before).some(isTarget('drains', ({isDraining}) => !isDraining)), 'its report of the new era counts');
+	await until(t, isInService, 'its report of the new era counts');
 });
 
 test('a target that was gone stays gone while a restored store shows it in service', async t => {
@@ -122,21 +128,14 @@
 });
 
 test('a target that was draining reports itself in a new era whose first reads were refused', async t => {
-	const {store, updates} = await startSource(t, store => {
-		store.put('servers', 'drains', entryOf({sequence: 7}));
-	});
-	store.keepCopy();
-	store.put('servers', 'drains', entryOf({sequence: 9, state: 'draining'}));
-	await until(t, () => updates.some(isTarget('drains', ({isDraining}) => isDraining)), 'draining reported');
-	const before = updates.length;
-	store.restore();
+	const {store, isInService} = await restoreDraining(t);
 	store.setMode('unavailable');
 	await delay(4000);
 	store.setMode('well');
 	await delay(GRACE_MS);
-	t.false(updates.slice(before).some(isTarget('drains', ({isDraining}) => !isDraining)), 'the row of the copy is not the target\'s word');
+	t.false(isInService(), 'the row of the copy is not the target\'s word');
 	store.renew('servers', 'drains', entryOf({sequence: 8}));
-	await until(t, () => updates.slice(before).some(isTarget('drains', ({isDraining}) => !isDraining)), 'its report of the new era counts');
+	await until(t, isInService, 'its report of the new era counts');
 });
 
 test('a data centre stays out while its row is missing from a restored store, until the operator has written the others again', async t => {
