Load the collector of young objects when it is first due

Loading it makes V8 create a whole context, which every start paid for and a VM that reads less than 4 MB never needs. The first collection loads it now.

--- a/src/runtime/memory/young-collector.ts
+++ b/src/runtime/memory/young-collector.ts
@@ -26,12 +26,17 @@
 };
 
 /** Returns a function to be called with the number of bytes of each read; it collects after every `everyBytes`. */
-export const createYoungCollector = (collect = loadCollect(), everyBytes = COLLECT_EVERY_BYTES): ((bytes: number) => void) => {
+export const createYoungCollector = (load = loadCollect, everyBytes = COLLECT_EVERY_BYTES): ((bytes: number) => void) => {
 	let sinceLast = 0;
+	let isLoaded = false;
+	let collect: CollectYoung | undefined;
 	return bytes => {
 		sinceLast += bytes;
 		if (sinceLast >= everyBytes) {
 			sinceLast = 0;
+			// Loading creates a context, which a process that reads little never needs.
+			collect = isLoaded ? collect : load();
+			isLoaded = true;
 			collect?.({type: 'minor'});
 		}
 	};
