--- a/test/memory/_router-process.ts
+++ b/test/memory/_router-process.ts
@@ -15,7 +15,7 @@
 /** The deployed runtime. If it is not installed, the test's own runtime is used. */
 const DEPLOYED_RUNTIME = `node_modules/node-linux-${process.arch}/bin/node`;
 /** The same flags as in `deploy/system.toml`. */
-const RUNTIME_FLAGS = ['--max-old-space-size=160', '--max-semi-space-size=4'];
+const RUNTIME_FLAGS = ['--max-old-space-size=160', '--max-semi-space-size=4', '--liftoff-only'];
 const KB_PER_MB = 1024;
 
 export type RouterProcess = {
