Set no timer and make no copy for each event of a stream

Cause: each event of a stream restarted a timer, was copied once more, was searched for its id with a regular expression and incremented a labelled counter. A VM relays most of its events while its code is still interpreted, where each of these steps takes far longer.

Change: the stall timer only notes the time of an event and checks it when it fires. A chunk of complete events is passed on without a copy. Bytes exchanged with targets are counted as numbers and added to their counter at each update of the traffic report, some 200 ms later at most.

--- a/src/runtime/entry/stall-timer.ts
+++ b/src/runtime/entry/stall-timer.ts
@@ -1,4 +1,5 @@
 /** Detects streams that have stalled. */
+import {monotonicClock} from '../monotonic-clock.js';
 
 /** Milliseconds without a byte after which a stream is treated as broken. */
 const STALL_MS = 10_000;
@@ -9,26 +10,40 @@
 	readonly stop: () => void;
 };
 
-/** Creates a timer that is not running; `onStall` is called `stallMs` after the last `touch`. */
+/**
+ * Creates a timer that is not running; `onStall` is called `stallMs` after the last `touch`. A
+ * `touch` only records the time, since it happens at each event of a stream; the timer that is
+ * already set checks that time when it fires, and is set again for the rest.
+ */
 export const createStallTimer = (onStall: () => void, stallMs = STALL_MS): StallTimer => {
 	let timer: NodeJS.Timeout | undefined;
-	let running = false;
+	let touchedMs = 0;
+
+	const arm = (forMs: number): void => {
+		timer = setTimeout(check, forMs);
+	};
+
+	function check(): void {
+		const remainingMs = touchedMs + stallMs - monotonicClock.nowMs();
+		if (remainingMs > 0) {
+			arm(remainingMs);
+			return;
+		}
+
+		timer = undefined;
+		onStall();
+	}
+
 	return {
 		touch() {
-			if (timer && running) {
-				timer.refresh();
-				return;
+			touchedMs = monotonicClock.nowMs();
+			if (timer === undefined) {
+				arm(stallMs);
 			}
-
-			running = true;
-			timer = setTimeout(() => {
-				running = false;
-				onStall();
-			}, stallMs);
 		},
 		stop() {
-			running = false;
 			clearTimeout(timer);
+			timer = undefined;
 		},
 	};
 };
--- a/src/runtime/observe/traffic-report.ts
+++ b/src/runtime/observe/traffic-report.ts
@@ -26,6 +26,9 @@
 	readonly flush: () => void;
 };
 
+const directions = ['to', 'from'] as const;
+const places = ['own', 'other'] as const;
+
 export const createTrafficReport = ({log, metrics}: {readonly log: Log; readonly metrics: Pick<Metrics, 'peerDatagrams' | 'peerMessages' | 'peerBytes' | 'targetBytes'>}): TrafficReport => {
 	const totals = new Map<string, number>();
 	let dueMs = -Infinity;
@@ -33,6 +36,22 @@
 		totals.set(field, (totals.get(field) ?? 0) + amount);
 	};
 
+	/** Bytes exchanged with targets that are not counted yet. They are counted at each update, since they arrive with each event of a stream. */
+	const uncounted = {to: {own: 0, other: 0}, from: {own: 0, other: 0}};
+
+	const countTargetBytes = (): void => {
+		for (const direction of directions) {
+			for (const place of places) {
+				const bytes = uncounted[direction][place];
+				if (bytes > 0) {
+					uncounted[direction][place] = 0;
+					metrics.targetBytes.inc({direction, data_centre: place}, bytes);
+					add(`${direction}_${place}_bytes`, bytes);
+				}
+			}
+		}
+	};
+
 	const write = (): void => {
 		const fields: LogFields = Object.fromEntries(totals);
 		totals.clear();
@@ -51,16 +70,18 @@
 			add(`${kind}_bytes`, bytes);
 		},
 		noteTarget({direction, isOtherDataCentre, bytes}) {
-			const place = isOtherDataCentre ? 'other' : 'own';
-			metrics.targetBytes.inc({direction, data_centre: place}, bytes);
-			add(`${direction}_${place}_bytes`, bytes);
+			uncounted[direction][isOtherDataCentre ? 'other' : 'own'] += bytes;
 		},
 		update(nowMs) {
+			countTargetBytes();
 			if (nowMs >= dueMs) {
 				dueMs = nowMs + LOG_MS;
 				write();
 			}
 		},
-		flush: write,
+		flush() {
+			countTargetBytes();
+			write();
+		},
 	};
 };
--- a/src/runtime/routing/event-ends.ts
+++ b/src/runtime/routing/event-ends.ts
@@ -11,23 +11,6 @@
 	return index === -1 ? bytes.length : index;
 };
 
-/** Returns the offsets of the bytes LF and CR, in order. */
-const lineEndsIn = (bytes: Uint8Array): readonly number[] => {
-	const offsets: number[] = [];
-	let lf = indexOf(bytes, LF, 0);
-	let cr = indexOf(bytes, CR, 0);
-	while (lf !== cr) {
-		offsets.push(Math.min(lf, cr));
-		if (lf < cr) {
-			lf = indexOf(bytes, LF, lf + 1);
-		} else {
-			cr = indexOf(bytes, CR, cr + 1);
-		}
-	}
-
-	return offsets;
-};
-
 export type EventEnds = {
 	/** Returns the offsets in the chunk behind the blank lines that end in it. If a chunk ends between the CR and the LF of a blank line, the LF ends one more event, without a byte else. */
 	readonly scan: (chunk: Uint8Array) => readonly number[];
@@ -56,14 +39,18 @@
 		scan(chunk) {
 			const ends: number[] = [];
 			let start = 0;
-			for (const offset of lineEndsIn(chunk)) {
+			let lf = indexOf(chunk, LF, 0);
+			let cr = indexOf(chunk, CR, 0);
+			while (lf !== cr) {
+				const isCr = cr < lf;
+				const offset = isCr ? cr : lf;
 				if (offset > start) {
 					noteText();
 				}
 
 				start = offset + 1;
-				const isSecondHalf = isAfterCr && chunk[offset] === LF;
-				isAfterCr = chunk[offset] === CR;
+				const isSecondHalf = isAfterCr && !isCr;
+				isAfterCr = isCr;
 				if (!isSecondHalf) {
 					isAtEnd = isLineBlank;
 					isLineBlank = true;
@@ -75,6 +62,12 @@
 				if (isAtEnd) {
 					ends.push(start);
 				}
+
+				if (isCr) {
+					cr = indexOf(chunk, CR, start);
+				} else {
+					lf = indexOf(chunk, LF, start);
+				}
 			}
 
 			if (start < chunk.length) {
--- a/src/runtime/routing/event-relay.ts
+++ b/src/runtime/routing/event-relay.ts
@@ -9,7 +9,7 @@
 /** The byte order mark that may precede a stream, in Latin-1. */
 const BYTE_ORDER_MARK = '\u00EF\u00BB\u00BF';
 const ID_FIELD = 'id:';
-const ID_VALUE = /^ ?(?<id>[^\r\n]*)/v;
+const LINE_END = /[\r\n]/v;
 const NOTHING = Buffer.alloc(0);
 const BLANK_LINES = /^[\r\n]*$/v;
 
@@ -31,19 +31,29 @@
 	readonly events: () => number;
 };
 
+/** Returns the text up to the end of its line, without the space that may precede a field's value. */
+const fieldValue = (text: string): string => {
+	const start = text.startsWith(' ') ? 1 : 0;
+	const lineEnd = text.search(LINE_END);
+	return text.slice(start, lineEnd === -1 ? undefined : lineEnd);
+};
+
 /** Returns an event's id; its last line of that name counts. */
 const idOf = (event: string): string | undefined => {
 	let id: string | undefined;
 	for (let at = event.indexOf(ID_FIELD); at !== -1; at = event.indexOf(ID_FIELD, at + 1)) {
 		const before = event[at - 1] ?? '\n';
 		if (before === '\n' || before === '\r') {
-			id = ID_VALUE.exec(event.slice(at + ID_FIELD.length))?.groups?.id;
+			id = fieldValue(event.slice(at + ID_FIELD.length));
 		}
 	}
 
 	return id;
 };
 
+/** Returns a view of bytes as text of one character a byte, in which offsets stay the same. */
+const asText = ({buffer, byteOffset, length}: Uint8Array): string => Buffer.from(buffer, byteOffset, length).toString('latin1');
+
 /** Whether an event's id is not above that of the last relayed event. An id that is not a number never counts as a duplicate. */
 const isDuplicate = (id: string | undefined, lastId: string | undefined): boolean =>
 	id !== undefined && lastId !== undefined && Number(id) <= Number(lastId);
@@ -122,8 +132,9 @@
 				return undefined;
 			}
 
-			const complete = Buffer.concat([held.subarray(0, incompleteBytes), chunk.subarray(0, end)]);
-			const text = complete.toString('latin1');
+			const completed = end === chunk.length ? chunk : chunk.subarray(0, end);
+			const complete = incompleteBytes === 0 ? completed : Buffer.concat([held.subarray(0, incompleteBytes), completed]);
+			const text = asText(complete);
 			let out = '';
 			let start = 0;
 			for (const chunkEnd of ends) {
@@ -134,7 +145,10 @@
 			}
 
 			release();
-			buffer(chunk.subarray(end));
+			if (end < chunk.length) {
+				buffer(chunk.subarray(end));
+			}
+
 			return out.length === text.length ? complete : Buffer.from(out, 'latin1');
 		},
 		lastId: () => lastId,
