Check whether a target is left without a list of all of them

Cause: for each request the list of the targets that may receive it was built twice, once only to see whether it is empty.

Change: that check ends at the first such target. Which targets are left does not depend on those that are skipped after failures, since at most a third is skipped.

--- a/src/core/placement/target-choice.ts
+++ b/src/core/placement/target-choice.ts
@@ -196,9 +196,12 @@
 	return candidates.filter(({record}) => record.id === chosen);
 };
 
-/** Returns the targets that may receive the request. These exclude targets that it was sent to before, targets that back off, and those with the most failures in a row among the recently failed ones. */
+/** Whether a target may receive the request: it was not sent there before, and the target does not back off. */
+const isEligible = (target: TargetView, tried: readonly string[], nowMs: number): boolean => target.backOffMs(nowMs) === 0 && !tried.includes(target.record.id);
+
+/** Returns the targets that may receive the request. These also exclude those with the most failures in a row among the recently failed ones. */
 const eligibleTargets = ({tried, isolateBy}: PlacementRequest, {targets, nowMs}: ChoiceContext): readonly TargetView[] => {
-	const eligible = targets.filter(target => target.backOffMs(nowMs) === 0 && !tried.includes(target.record.id));
+	const eligible = targets.filter(target => isEligible(target, tried, nowMs));
 	const isolationKey = isolateBy?.();
 	if (isolationKey !== undefined) {
 		return isolationTarget(isolationKey, eligible, nowMs);
@@ -245,7 +248,7 @@
 };
 
 /** Whether any target is left that the request was not sent to and that does not back off, even if none can start it now. */
-export const hasTargetLeft = (request: PlacementRequest, ctx: ChoiceContext): boolean => eligibleTargets(request, ctx).length > 0;
+export const hasTargetLeft = ({tried}: PlacementRequest, {targets, nowMs}: ChoiceContext): boolean => targets.some(target => isEligible(target, tried, nowMs));
 
 /** Returns the milliseconds until the first target that backs off accepts requests again; undefined when none does. */
 export const shortestBackOffMs = ({tried}: PlacementRequest, {targets, nowMs}: ChoiceContext): number | undefined => {
