Log processor time of standing work, of the start and the work of each period

Cause: the processor line gave one sum per 5 s, so the cost of a request, of standing work and of cold code could only be guessed by least squares over all VMs.

The line now counts the requests, reads from targets and datagrams of its period, the requests since the start, and the processor time between checks in which no request was open. started and ready name the processor time used so far. Where a budget is set, the line holds the costs that admission estimates.

--- a/src/runtime/observe/loop-delay.ts
+++ b/src/runtime/observe/loop-delay.ts
@@ -5,9 +5,11 @@
  */
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
+import {type CpuCosts} from '../../core/admission/cpu-costs.js';
 import {type Clock} from '../../core/clock.js';
 import {type Log} from './log.js';
 import {type Metrics} from './metrics.js';
+import {type WorkCounts} from './work-counts.js';
 
 /** Milliseconds between checks. Each check wakes the process, and a stall need not be detected sooner. */
 const CHECK_MS = 250;
@@ -43,10 +45,16 @@
 	readonly onCheck: (delayMs: number) => void;
 	/** Returns the share of requests that is refused, for the log line. */
 	readonly refusedShare: () => number;
+	/** The work of this process, for the log line. */
+	readonly work: Pick<WorkCounts, 'measure' | 'take'>;
+	/** Returns the estimated costs by which requests are admitted, for the log line; undefined where none are estimated. */
+	readonly estimatedCosts: () => CpuCosts | undefined;
 };
 
+const roundToHundredths = (value: number): number => Math.round(value * PERCENT) / PERCENT;
+
 /** Starts the periodic checks. */
-export const startLoopDelay = ({clock, log, metrics, reportingVms, onCheck, refusedShare}: LoopDelayOptions): LoopDelay => {
+export const startLoopDelay = ({clock, log, metrics, reportingVms, onCheck, refusedShare, work, estimatedCosts}: LoopDelayOptions): LoopDelay => {
 	let dueMs = clock.nowMs() + CHECK_MS;
 	let lastDelayMs = 0;
 	let period = {
@@ -54,8 +62,8 @@
 	};
 	let timer: NodeJS.Timeout;
 
-	const logPeriod = (nowMs: number): void => {
-		const usedMs = cpuMs();
+	const logPeriod = (usedMs: number, nowMs: number): void => {
+		const costs = estimatedCosts();
 		const spanMs = nowMs - period.atMs;
 		log.info('processor', {
 			used_ms: Math.round(usedMs - period.cpuMs),
@@ -64,7 +72,14 @@
 			max_delay_ms: Math.round(period.maxDelayMs),
 			since_start_ms: Math.round(usedMs),
 			vms_heard: reportingVms(),
-			refused_share: Math.round(refusedShare() * PERCENT) / PERCENT,
+			refused_share: roundToHundredths(refusedShare()),
+			...work.take(),
+			...(costs && {
+				admitted_cost_ms: roundToHundredths(costs.admittedMs),
+				refused_cost_ms: roundToHundredths(costs.refusedMs),
+				open_cost_ms_per_s: roundToHundredths(costs.openMs),
+				idle_cost_ms_per_s: roundToHundredths(costs.idleMs),
+			}),
 		});
 		period = {
 			atMs: nowMs, cpuMs: usedMs, maxDelayMs: 0, sumMs: 0, checks: 0,
@@ -79,8 +94,10 @@
 		period = {
 			...period, maxDelayMs: Math.max(period.maxDelayMs, lastDelayMs), sumMs: period.sumMs + lastDelayMs, checks: period.checks + 1,
 		};
+		const usedMs = cpuMs();
+		work.measure(usedMs, nowMs);
 		if (nowMs - period.atMs >= LOG_MS) {
-			logPeriod(nowMs);
+			logPeriod(usedMs, nowMs);
 		}
 
 		dueMs = nowMs + CHECK_MS;
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -23,6 +23,7 @@
 import {cpuMs, idleMs, startLoopDelay} from '../observe/loop-delay.js';
 import {createInputAge} from '../observe/input-age.js';
 import {createTrafficReport, sizeLabel} from '../observe/traffic-report.js';
+import {createWorkCounts} from '../observe/work-counts.js';
 import {createIngressReport} from '../observe/ingress-report.js';
 import {createMemoryAccounts, type MemoryAccounts} from '../memory/memory-accounts.js';
 import {createYoungCollector} from '../memory/young-collector.js';
@@ -175,6 +176,7 @@
 	/** The exchange, set once it has started. The scheduler and the roll-out task below send messages through it, and it needs both of them to start. */
 	const exchangeRef: {current?: LoadExchange} = {};
 	const loadShedder = createLoadShedder({behindMs: limits.behindMs, random});
+	const work = createWorkCounts(cpuMs(), clock.nowMs());
 	let openRequests = 0;
 	const admissionControl = createAdmissionControl({
 		processorShare: limits.processorShare, processors: limits.processors ?? 1, usedMs: cpuMs, idleMs, open: () => openRequests,
@@ -242,6 +244,8 @@
 			trafficReport.update(nowMs);
 		},
 		refusedShare: loadShedder.refusedShare,
+		work,
+		estimatedCosts: () => admissionControl.hasBudget ? admissionControl.figures() : undefined,
 	});
 	const exchange = await startLoadExchange({
 		vm, incarnation, listen: options.exchange, clock, log, loads,
@@ -251,8 +255,14 @@
 		freshness: source.freshness, onFreshness: source.onFreshness,
 		leavingTargets: scheduler.leavingTargets, onLeavingTargets: scheduler.onLeavingTargets,
 		quarantine: quarantine.report, onQuarantine: quarantine.onReport,
-		onDatagram: inputAge.noteInput,
-		onSent: trafficReport.noteSent,
+		onDatagram() {
+			inputAge.noteInput();
+			work.noteDatagramReceived();
+		},
+		onSent(kind, messages, bytes) {
+			trafficReport.noteSent(kind, messages, bytes);
+			work.noteDatagramSent();
+		},
 		onFault(direction) {
 			metrics.exchangeFaults.inc({direction});
 		},
@@ -289,6 +299,10 @@
 		createCalls: createRelayCalls({
 			wire: targetWire, pool: address => pools.get(address), freshPool: pools.fresh, recentSends: createRecentSends(), clock, log, observe: scheduler.observe, onRead,
 			onTraffic(target, direction, bytes) {
+				if (direction === 'from') {
+					work.noteRead();
+				}
+
 				trafficReport.noteTarget({direction, bytes, isOtherDataCentre: view.targets().get(target)?.dataCentre !== dataCentre});
 			},
 			lossWatch: scheduler.lossWatch, promptWatch: quarantine, inputAge,
@@ -304,7 +318,9 @@
 	let wasReady = false;
 	const serve = async (req: http.IncomingMessage, res: http.ServerResponse): Promise<void> => {
 		openRequests++;
+		work.noteRequestStart();
 		await serveRequest(req, res, ctx);
+		work.noteRequestEnd();
 		openRequests--;
 	};
 
@@ -323,7 +339,9 @@
 		isReady, loads, memoryAccounts, queuedByTier: scheduler.queuedByTier,
 	});
 	const address = await listenForCallers(servers, options.callers);
-	log.info('started', {vm, data_centre: dataCentre, callers: address});
+	log.info('started', {
+		vm, data_centre: dataCentre, callers: address, used_ms: Math.round(cpuMs()),
+	});
 	quarantine.start();
 	source.start(update => {
 		for (const change of view.apply(update)) {
@@ -350,7 +368,9 @@
 		metrics.targetsKnown.set(view.targets().size);
 		if (!wasReady && isReady()) {
 			wasReady = true;
-			log.info('ready', {config_version: view.activeConfig()?.config.version, targets: view.targets().size});
+			log.info('ready', {
+				config_version: view.activeConfig()?.config.version, targets: view.targets().size, used_ms: Math.round(cpuMs()),
+			});
 		}
 	});
 
