--- a/test/placement/_charged-fleet.ts
+++ b/test/placement/_charged-fleet.ts
@@ -47,6 +47,9 @@
 const MISSES_TO_LEAVE = 2;
 /** Milliseconds after which a grant is not valid any more. */
 const GRANT_VALIDITY_MS = 1000;
+/** Turns of the event loop that a request waits before it is placed, for unread disconnects, and before it is sent, for a connection and another read of all sockets. */
+const TURNS_BEFORE_PLACE = 2;
+const TURNS_BEFORE_SEND = 3;
 /** Times that a request is placed again after a grant that was not used in time. */
 const MAX_RETRIES = 10;
 /** Latency targets after which a caller abandons a stream without an event, and the least time for that in milliseconds. */
@@ -397,6 +400,18 @@
 		});
 	};
 
+	/** Waits for all work that is queued now, `turns` times. */
+	const afterTurns = (vm: Vm, turns: number, nowMs: number, then: (nowMs: number) => void): void => {
+		if (turns === 0) {
+			then(nowMs);
+			return;
+		}
+
+		vm.processor.work(0, nowMs, atMs => {
+			afterTurns(vm, turns - 1, atMs, then);
+		});
+	};
+
 	function ask(vm: Vm, attempt: Attempt, nowMs: number): void {
 		vm.processor.step('place', nowMs, atMs => {
 			if (!attempt.isDone && attempt.request) {
@@ -427,7 +442,9 @@
 			}
 		} else if (effect.kind === 'grant') {
 			attempt.grant = {id: effect.grantId, target: effect.target.id};
-			send(vm, attempt, nowMs, nowMs);
+			afterTurns(vm, TURNS_BEFORE_SEND, nowMs, turnMs => {
+				send(vm, attempt, nowMs, turnMs);
+			});
 		} else {
 			refuse(vm, attempt, effect.retryAfterMs, nowMs);
 		}
@@ -507,7 +524,9 @@
 				callerLeavesMs: startMs + Math.max(MIN_ABANDON_MS, ABANDON_TARGETS * kind.targetLatencyMs),
 			});
 			attempts.set(attempt.request.requestId, attempt);
-			ask(vm, attempt, atMs);
+			afterTurns(vm, TURNS_BEFORE_PLACE, atMs, turnMs => {
+				ask(vm, attempt, turnMs);
+			});
 		});
 	};
 
