--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -3,14 +3,16 @@
  * there may hold few files open, which Node's module loader exceeds on `node_modules`, and start-up time counts.
  * It then makes the start-up snapshot of both, which holds the loaded program (docs/design/start-up.md).
  */
-import {copyFile, mkdir} from 'node:fs/promises';
+import {copyFile, mkdir, rename} from 'node:fs/promises';
 import {build} from 'esbuild';
 import {lateModules} from './late-modules.js';
 import {makeSnapshot} from './snapshot.js';
 import {runtimeFile} from './runtime.js';
 
 await mkdir('target', {recursive: true});
-await copyFile(runtimeFile(), 'target/node');
+// A file that a process runs can't be written to, but it can be replaced.
+await copyFile(runtimeFile(), 'target/node.new');
+await rename('target/node.new', 'target/node');
 
 const options = {
 	bundle: true,
