--- a/src/runtime/store/vm-rows.ts
+++ b/src/runtime/store/vm-rows.ts
@@ -22,8 +22,6 @@
 const MIN_UNKNOWN_VM_READ_INTERVAL_MS = 3000;
 /** Milliseconds from the first read of the VMs' rows to the second. All VMs of a fleet may start at once, so the first read may miss some. */
 const SECOND_READ_DELAY_MS = 2000;
-/** Milliseconds for which the list of the running VMs is cached. */
-const RECENT_VMS_VALID_MS = 1000;
 /** Rounds (a write of this VM's row and a read of all rows) without a change after which another VM's row counts as stale; fewer in a large fleet, whose rounds are longer. */
 const VM_ROW_VALID_ROUNDS = 4;
 const LARGE_FLEET_VALID_ROUNDS = 3;
@@ -67,9 +65,9 @@
 
 export const createVmRows = ({vm, exchange, store, readAll, clock, log, stopped}: VmRowsOptions): VmRows => {
 	/** VMs' rows, each with the number of rounds that found it unchanged. Rounds are counted rather than time, since rows also stay unchanged while the store is unavailable or this process is paused. */
-	const vmRows = new Map<string, {readonly value: string; readonly unchanged: number}>();
-	/** Cached list of the running VMs, since it is needed for each request. */
-	let recentVmsCache: {readonly names: readonly string[]; readonly exchanges: readonly string[]; readonly untilMs: number} | undefined;
+	const vmRows = new Map<string, {readonly value: string; readonly exchange: string | undefined; readonly unchanged: number}>();
+	/** Cached list of the running VMs, since it is needed for each request. It changes only with the rows. */
+	let recentVmsCache: {readonly names: readonly string[]; readonly exchanges: readonly string[]} | undefined;
 
 	const pause = createPause(stopped);
 
@@ -82,7 +80,9 @@
 		for (const {key, value} of rows) {
 			const text = value ? new TextDecoder().decode(value) : '';
 			const previous = vmRows.get(key);
-			vmRows.set(key, {value: text, unchanged: previous?.value === text ? previous.unchanged + (isNewRound ? 1 : 0) : 0});
+			vmRows.set(key, previous?.value === text
+				? {...previous, unchanged: previous.unchanged + (isNewRound ? 1 : 0)}
+				: {value: text, exchange: decodeExchange(text), unchanged: 0});
 		}
 
 		recentVmsCache = undefined;
@@ -128,7 +128,7 @@
 
 	/** Returns the VMs whose rows are not stale. */
 	const recentVms = () => {
-		if (recentVmsCache && clock.nowMs() < recentVmsCache.untilMs) {
+		if (recentVmsCache) {
 			return recentVmsCache;
 		}
 
@@ -137,8 +137,7 @@
 		const others = rows.filter(([name]) => name !== vm);
 		recentVmsCache = {
 			names: [...others.map(([name]) => name), vm],
-			exchanges: others.flatMap(([, {value}]) => decodeExchange(value) ?? []),
-			untilMs: clock.nowMs() + RECENT_VMS_VALID_MS,
+			exchanges: others.flatMap(([, row]) => row.exchange ?? []),
 		};
 		return recentVmsCache;
 	};
@@ -147,7 +146,7 @@
 		maintain,
 		names: () => recentVms().names,
 		exchanges: () => recentVms().exchanges,
-		exchangeOf: name => decodeExchange(vmRows.get(name)?.value ?? ''),
+		exchangeOf: name => vmRows.get(name)?.exchange,
 		onUnknownVm,
 	};
 };
