Report loads at the rate of their news

Cause: a VM at rest sent and received 20 reports a second in a large fleet and 70 in one of 8 VMs, all without news.

Change: a VM whose report tells nothing new reports each 0.5 s (up to 16 VMs) or each second; any news, request or update of the fleet brings back the full rate, with the first report within the mean time to the next one before. Reports state their period, so that a sample of VMs at rest and of busy ones still gives the same usage. A period of 1,600 ms was ruled out: in a simulation word of the store's last response took up to 4.7 s to reach all of 1,100 VMs, and after 4 s the store counts as unavailable.

The outage model of store-watch has two more cases in which VMs report at the rate of their news; its bounds are unchanged.

--- a/src/core/placement/fleet-loads.ts
+++ b/src/core/placement/fleet-loads.ts
@@ -42,7 +42,7 @@
 	readonly teams: readonly TeamLoad[];
 };
 
-type Report = {readonly loads: VmLoads; readonly atMs: number};
+type Report = {readonly loads: VmLoads; readonly atMs: number; readonly weight: number};
 /** Requests at a target, without its name. */
 export type Load = Omit<TargetLoad, 'target'>;
 
@@ -59,18 +59,25 @@
 	readonly #teamSums = new Map<string, Map<string, TeamSum>>();
 	/** Teams that wait at other VMs, by service. */
 	readonly #waitingTeams = new Map<string, {readonly teams: ReadonlySet<string>; readonly atMs: number}>();
+	/** Number of VMs that the valid reports stand for. */
+	#weight = 0;
 	/** Factor that scales the sums over the VMs with a valid report to all other VMs. */
 	#scale = 1;
 
-	/** Records a report in place of the VM's last one. A report that is not newer is ignored. */
-	addReport(loads: VmLoads, nowMs: number): void {
+	/**
+	 * Records a report in place of the VM's last one. A report that is not newer is ignored.
+	 *
+	 * @param weight - Number of VMs that the report stands for (`reportWeight`).
+	 */
+	addReport(loads: VmLoads, nowMs: number, weight = 1): void {
 		const known = this.#reports.get(loads.vm);
 		if (known?.loads.incarnation === loads.incarnation && loads.sequence <= known.loads.sequence) {
 			return;
 		}
 
 		this.#removeReport(loads.vm);
-		this.#reports.set(loads.vm, {loads, atMs: nowMs});
+		this.#reports.set(loads.vm, {loads, atMs: nowMs, weight});
+		this.#weight += weight;
 		this.#addToSums(loads, 1);
 		if (hasWaitingTeams(loads) || (known && hasWaitingTeams(known.loads))) {
 			this.#waitingTeams.clear();
@@ -89,7 +96,7 @@
 			}
 		}
 
-		this.#scale = others === undefined || this.reportingVms === 0 ? 1 : Math.max(1, others / this.reportingVms);
+		this.#scale = others === undefined || this.reportingVms === 0 ? 1 : Math.max(1, others / this.#weight);
 	}
 
 	/** Number of VMs with a valid report. */
@@ -137,6 +144,7 @@
 		const report = this.#reports.get(vm);
 		this.#reports.delete(vm);
 		if (report) {
+			this.#weight -= report.weight;
 			this.#addToSums(report.loads, -1);
 		}
 	}
--- a/src/runtime/routing/load-exchange.ts
+++ b/src/runtime/routing/load-exchange.ts
@@ -4,18 +4,21 @@
  * retransmissions of a connection would gain nothing. A VM whose process was paused also has no
  * backlog of old reports to read.
  */
-import {createSocket} from 'node:dgram';
+import {createSocket, type SocketOptions} from 'node:dgram';
 import {once} from 'node:events';
 import {
 	create, fromBinary, toBinary, type MessageInitShape,
 } from '@bufbuild/protobuf';
 import {type Clock} from '../../core/clock.js';
-import {nextPeers, planExchange, type ExchangePlan} from '../../core/placement/exchange-plan.js';
+import {
+	nextPeers, planExchange, reportWeight, type ExchangePlan,
+} from '../../core/placement/exchange-plan.js';
 import {type FleetLoads, type TargetLoad, type TeamLoad} from '../../core/placement/fleet-loads.js';
 import {type LeavingTarget, type ObservedLoad} from '../../core/placement/messages.js';
 import {type SentPrompt} from '../../core/placement/prefix-cache-estimate.js';
+import {ReportPace, type ReportNews} from '../../core/placement/report-pace.js';
 import {
-	LoadReportSchema, PeerDatagramSchema, QuarantineNotesSchema, type QuarantineNotes,
+	LoadReportSchema, PeerDatagramSchema, QuarantineNotesSchema, type PeerDatagram, type QuarantineNotes,
 } from '../../gen/jackdawwood/v1/exchange_pb.js';
 import {hash32} from '../../core/membership/rendezvous.js';
 import {type PeerMessage} from '../../core/placement/peer-messages.js';
@@ -23,6 +26,7 @@
 import {type StoreFreshness} from '../../core/store-watch/types.js';
 import {type Log} from '../observe/log.js';
 import {decodeRollouts, encodeRollouts} from '../rollout/rollout-messages.js';
+import {type Announcement} from '../../core/rollout/types.js';
 import {type RolloutMessage} from '../rollout/types.js';
 import {type QuarantineReport} from '../../core/quarantine/types.js';
 import {decodeQuarantine, encodeQuarantine} from './quarantine-messages.js';
@@ -85,17 +89,37 @@
 	readonly sendRolloutMessage: (vm: string, message: RolloutMessage) => void;
 	/** Sends what the quarantine reports at once, in a large fleet: to those that the next load report goes to, or only the sound parts, to one VM that blames them. In a small one, the next load report is soon enough. */
 	readonly sendQuarantine: (to?: string) => void;
+	/** Returns to the full rate of reports. Called when a request or a change of the fleet has arrived. */
+	readonly wake: () => void;
 	readonly close: () => void;
 };
 
+/** Returns an address as it is, since the settings and the VMs' rows state addresses by IP number. Node.js would look up that of each datagram. */
+const lookup: NonNullable<SocketOptions['lookup']> = (host, _options, callback) => {
+	callback(null, host, 4);
+};
+
+/** Ignores the outcome of a send: an unreachable VM misses one datagram. */
+const ignoreOutcome = (): void => undefined;
+
+/** Returns what an announcement tells apart from ages. */
+const factOf = ({service, revision, isHeld, isSteppingDown = false, coordinator}: Announcement): string => [service, revision, isHeld, isSteppingDown, coordinator].join(' ');
+
+const isOpenRollout = ({state: {phase}, isHeld, isSteppingDown = false}: Announcement): boolean => isHeld || isSteppingDown || phase === 'trial' || phase === 'moving';
+
+/** Whether a datagram has what its receiver passes on in its own reports. */
+const maySpread = ({report, quarantine, rollouts}: PeerDatagram): boolean => report?.outageAgeMs !== undefined || (report?.leaving.length ?? 0) > 0 || quarantine !== undefined || rollouts.length > 0;
+
 /** Starts to listen for datagrams and to send reports. */
 export const startLoadExchange = async ({
 	vm, incarnation, listen, clock, log, loads, peers, peerOf, onUnknownVm, onPeerMessage, targets, teams, takeSentPrompts, onSentPrompts, takeObserved, onObserved,
 	freshness, onFreshness, leavingTargets, onLeavingTargets, rollouts, onRollouts, quarantine, onQuarantine, onDatagram, onSent = () => undefined, onFault = () => undefined,
 }: LoadExchangeOptions): Promise<LoadExchange> => {
-	const socket = createSocket('udp4');
+	const socket = createSocket({type: 'udp4', lookup});
+	const pace = new ReportPace();
 	let sequence = 0;
 	let timer: NodeJS.Timeout;
+	let isResting = false;
 
 	const noteFault = (direction: 'in' | 'out', err: unknown): void => {
 		onFault(direction);
@@ -116,7 +140,7 @@
 
 			const {report} = datagram;
 			if (report) {
-				loads.addReport({...report, vm: datagram.vm}, clock.nowMs());
+				loads.addReport({...report, vm: datagram.vm}, clock.nowMs(), reportWeight(report.periodMs, planExchange(peers().length)));
 				onSentPrompts(report.prompts);
 				onObserved(report.observed);
 				onLeavingTargets(report.leaving.map(({target, bornMs}) => ({target, bornMs: Number(bornMs)})));
@@ -133,6 +157,10 @@
 			for (const {service, message} of decodeReservations(datagram)) {
 				onPeerMessage(datagram.vm, service, message);
 			}
+
+			if (isResting && maySpread(datagram) && pace.isNews(currentNews())) {
+				wake();
+			}
 		} catch (error) {
 			noteFault('in', error);
 		}
@@ -140,8 +168,9 @@
 	socket.on('error', err => {
 		log.warn('UDP socket for load reports failed', {fault: err.message});
 	});
+	const listening = once(socket, 'listening');
 	socket.bind(listen.port, listen.host);
-	await once(socket, 'listening');
+	await listening;
 
 	let next = hash32(`${vm}|${incarnation}`);
 	/**
@@ -170,41 +199,63 @@
 	const sendToPeers = (kind: PeerTraffic, bytes: Uint8Array, {plan, addresses}: {readonly plan: ExchangePlan; readonly addresses: readonly Address[]}): void => {
 		for (const {host, port} of nextPeers(addresses, next, plan)) {
 			onSent(kind, 1, bytes.length);
-			// Errors are ignored: an unreachable peer misses one report.
-			socket.send(bytes, port, host, () => undefined);
+			socket.send(bytes, port, host, ignoreOutcome);
 		}
 
 		next += plan.peersPerReport;
 	};
 
-	const sendOneReport = (plan: ExchangePlan, addresses: readonly Address[]): void => {
-		loads.expire(clock.nowMs(), plan.validMs, plan.isFullMesh ? undefined : addresses.length);
+	/** Returns what a report would tell now, apart from the loads that it takes. */
+	const currentNews = (): Omit<ReportNews, 'peers'> => {
+		const {versions, storeAgeMs, outageAgeMs} = freshness();
+		const leaving = leavingTargets();
+		const announcements = rollouts?.().announcements ?? [];
+		const {ends = [], sound = [], verdicts = []} = quarantine?.() ?? {};
+		return {
+			storeAgeMs,
+			hasFigures: outageAgeMs !== undefined || leaving.length + ends.length + sound.length + verdicts.length > 0 || announcements.some(announcement => isOpenRollout(announcement)) || teams().length > 0,
+			facts: [...[...versions].flat(), ...announcements.map(announcement => factOf(announcement))].join(' '),
+		};
+	};
+
+	/** Sends a report; returns the milliseconds to the next one. */
+	const sendOneReport = (plan: ExchangePlan, addresses: readonly Address[]): number => {
+		const nowMs = clock.nowMs();
+		loads.expire(nowMs, plan.validMs, plan.isFullMesh ? undefined : addresses.length);
 		const reportContents = buildContents(plan.isFullMesh);
+		const {versions, storeAgeMs, outageAgeMs} = freshness();
+		const teamLoads = teams();
+		const news = currentNews();
+		const hasLoads = Object.values<readonly unknown[]>(reportContents).some(list => list.length > 0);
+		const periodMs = pace.noteReport({...news, hasFigures: news.hasFigures || hasLoads, peers: addresses.length}, plan, nowMs);
 		if (addresses.length > 0) {
-			const {versions, storeAgeMs, outageAgeMs} = freshness();
 			const report = create(LoadReportSchema, {
 				storeAgeMs: Math.round(storeAgeMs),
 				...(outageAgeMs !== undefined && {outageAgeMs: Math.round(outageAgeMs)}),
 				leaving: leavingTargets().map(({target, bornMs}) => ({target, bornMs: BigInt(bornMs)})),
 				tables: [...versions].map(([table, version]) => ({table, version: BigInt(version)})),
-				incarnation, sequence: ++sequence, ...reportContents,
-				teams: teams().map(load => ({...load, use: Math.round(load.use), asked: Math.round(load.asked)})),
+				incarnation, sequence: ++sequence, periodMs, ...reportContents,
+				teams: teamLoads.map(load => ({...load, use: Math.round(load.use), asked: Math.round(load.asked)})),
 			});
 			const bytes = toBinary(PeerDatagramSchema, create(PeerDatagramSchema, {
 				vm, report, ...(rollouts && encodeRollouts(rollouts())), ...quarantineField(),
 			}));
 			sendToPeers('report', bytes, {plan, addresses});
 		}
+
+		return periodMs;
 	};
 
 	/** Sends a report and schedules the next one. A report that cannot be sent costs itself alone. */
 	const sendReport = (): void => {
 		let periodMs = FAILED_REPORT_PERIOD_MS;
+		isResting = false;
 		try {
 			const addresses = peers();
 			const plan = planExchange(addresses.length);
 			periodMs = plan.periodMs;
-			sendOneReport(plan, addresses);
+			periodMs = sendOneReport(plan, addresses);
+			isResting = periodMs > plan.periodMs;
 		} catch (error) {
 			noteFault('out', error);
 		}
@@ -212,6 +263,21 @@
 		timer = setTimeout(sendReport, periodMs);
 	};
 
+	/** Returns to the full rate; the next report comes as soon as one at that rate would on average. */
+	const wake = (): void => {
+		const others = peers().length;
+		const plan = planExchange(others);
+		pace.noteEvent(plan, clock.nowMs());
+		if (isResting) {
+			isResting = false;
+			clearTimeout(timer);
+			const {isFullMesh, periodMs, validMs} = plan;
+			// The sums were brought up to date at the last report, which may be long ago.
+			loads.expire(clock.nowMs(), validMs, isFullMesh ? undefined : others);
+			timer = setTimeout(sendReport, periodMs / 2);
+		}
+	};
+
 	const outbox = new Map<string, ServiceMessage[]>();
 	/** Sends a datagram to one VM. One that cannot be encoded or sent is lost, like any other may be. */
 	const sendTo = (to: string, fields: () => MessageInitShape<typeof PeerDatagramSchema>, {kind, messages = 1}: {readonly kind: PeerTraffic; readonly messages?: number}): void => {
@@ -220,7 +286,7 @@
 			if (address) {
 				const bytes = toBinary(PeerDatagramSchema, create(PeerDatagramSchema, {vm, ...fields()}));
 				onSent(kind, messages, bytes.length);
-				socket.send(bytes, address.port, address.host, () => undefined);
+				socket.send(bytes, address.port, address.host, ignoreOutcome);
 			}
 		} catch (error) {
 			noteFault('out', error);
@@ -266,6 +332,7 @@
 				sendToPeers('quarantine', toBinary(PeerDatagramSchema, create(PeerDatagramSchema, {vm, ...notes})), {plan, addresses});
 			}
 		},
+		wake,
 		close() {
 			clearTimeout(timer);
 			socket.close();
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -228,7 +228,13 @@
 			exchangeRef.current?.sendQuarantine(to);
 		},
 	});
-	const gate = quarantine.gate(scheduler);
+	const gate = quarantine.gate({
+		...scheduler,
+		submit(request) {
+			exchangeRef.current?.wake();
+			return scheduler.submit(request);
+		},
+	});
 	const loopDelay = startLoopDelay({
 		clock, log, metrics, reportingVms: () => loads.reportingVms,
 		onCheck(delayMs) {
@@ -326,6 +332,10 @@
 	log.info('started', {vm, data_centre: dataCentre, callers: address});
 	quarantine.start();
 	source.start(update => {
+		if (update.kind !== 'targets-current') {
+			exchangeRef.current?.wake();
+		}
+
 		for (const change of view.apply(update)) {
 			if (change.kind === 'rollout-order') {
 				rollout?.onOrder(change.service, change.row);
--- a/test/routing/load-exchange.test.ts
+++ b/test/routing/load-exchange.test.ts
@@ -2,7 +2,7 @@
 import {once} from 'node:events';
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
-import {fromBinary} from '@bufbuild/protobuf';
+import {create, fromBinary, toBinary} from '@bufbuild/protobuf';
 import {FleetLoads} from '../../src/core/placement/fleet-loads.js';
 import {PeerDatagramSchema} from '../../src/gen/jackdawwood/v1/exchange_pb.js';
 import {silentLog} from '../../src/runtime/observe/log.js';
@@ -11,6 +11,16 @@
 const PERIOD_MS = 100;
 const ignore = (): undefined => undefined;
 
+/** Returns a port that was free a moment ago. */
+const freePort = async (): Promise<number> => {
+	const socket = createSocket('udp4');
+	socket.bind(0, '127.0.0.1');
+	await once(socket, 'listening');
+	const {port} = socket.address();
+	socket.close();
+	return port;
+};
+
 /** Starts an exchange with one peer; returns the sequence numbers of the reports that the peer receives. */
 const startExchange = async (t: ExecutionContext, overrides: Partial<Parameters<typeof startLoadExchange>[0]>) => {
 	const peer = createSocket('udp4');
@@ -84,3 +94,33 @@
 	await delay(PERIOD_MS);
 	t.deepEqual(vms, ['vm-1']);
 });
+
+test('a VM with nothing new to tell sends few reports, and one soon after a request or a change of the fleet has arrived', async t => {
+	const {exchange, received} = await startExchange(t, {});
+	await delay(2500);
+	const before = received.length;
+	await delay(2000);
+	const atRest = received.length - before;
+	t.true(atRest >= 2 && atRest <= 5, `${atRest} reports in 2 s at rest`);
+	exchange.wake();
+	await delay(PERIOD_MS * 8);
+	const awake = received.length - before - atRest;
+	t.true(awake >= 5, `${awake} reports in 0.8 s after that`);
+});
+
+test('a VM at rest passes on at once what it hears of an outage of the store', async t => {
+	const freshness: {outageAgeMs: number | undefined} = {outageAgeMs: undefined};
+	const other = createSocket('udp4');
+	t.teardown(() => other.close());
+	const port = await freePort();
+	const {received} = await startExchange(t, {
+		listen: {host: '127.0.0.1', port}, freshness: () => ({versions: new Map(), storeAgeMs: 0, ...freshness}), onFreshness({outageAgeMs}) {
+			freshness.outageAgeMs = outageAgeMs;
+		},
+	});
+	await delay(2500);
+	const before = received.length;
+	other.send(toBinary(PeerDatagramSchema, create(PeerDatagramSchema, {vm: 'vm-2', report: {incarnation: 'i', sequence: 1, outageAgeMs: 2100}})), port, '127.0.0.1');
+	await delay(PERIOD_MS * 8);
+	t.true(received.length - before >= 5, `${received.length - before} reports in 0.8 s`);
+});
--- a/test/store-watch/_outage-model.ts
+++ b/test/store-watch/_outage-model.ts
@@ -3,6 +3,8 @@
  * that go silent with a call or while idle, a store that does not serve some of the VMs, paused VMs, and lost reports between
  * VMs. Runs in virtual time without I/O and is reproducible from a seed.
  */
+import {type ExchangePlan} from '../../src/core/placement/exchange-plan.js';
+import {ReportPace} from '../../src/core/placement/report-pace.js';
 import {MissingEntries} from '../../src/core/store-watch/missing-entries.js';
 import {StoreContact} from '../../src/core/store-watch/store-contact.js';
 import {TableWatcher} from '../../src/core/store-watch/table-watcher.js';
@@ -41,6 +43,10 @@
 	/** Milliseconds between two reports of a VM, and how many other VMs get each; 0: no reports. */
 	readonly reportIntervalMs: number;
 	readonly peersPerReport: number;
+	/** Plan by which a VM with nothing new to tell sends fewer reports; absent if all VMs report at the same rate. */
+	readonly plan?: ExchangePlan;
+	/** Chance of a change in a step, if not the usual one. */
+	readonly changeChance?: number;
 };
 
 const TABLES = ['op', 'servers'] as const;
@@ -67,7 +73,7 @@
 };
 
 export const runOutageModel = (seed: number, {
-	leastVms, mostVms, contactMs, boundMs, reportIntervalMs, peersPerReport,
+	leastVms, mostVms, contactMs, boundMs, reportIntervalMs, peersPerReport, plan, changeChance = CHANGE_CHANCE,
 }: Fleet): OutageRun => {
 	const random = createRandom(seed);
 	const chance = (p: number): boolean => random.uniform() < p;
@@ -92,6 +98,19 @@
 		/** Time until which an idle connection that has gone silent may be used; a failed call replaces it before. */
 		let silentIdleUntilMs = -1;
 		let disturbedMs = -Infinity;
+		const pace = new ReportPace();
+		let nextReportMs = random.uniform() * reportIntervalMs;
+		let isResting = false;
+		/** Does what the load exchange does when a change of the fleet has arrived. */
+		const wake = (): void => {
+			if (plan) {
+				pace.noteEvent(plan, nowMs);
+				if (isResting) {
+					isResting = false;
+					nextReportMs = nowMs + (plan.periodMs / 2);
+				}
+			}
+		};
 
 		const at = (atMs: number, run: () => void): void => {
 			timers.push({atMs, run});
@@ -148,6 +167,7 @@
 
 					case 'regained': {
 						handleMissing({kind: 'tick'});
+						wake();
 						for (const table of TABLES.filter(name => name !== watched)) {
 							handleWatcher(table, {kind: 'regained'});
 						}
@@ -155,7 +175,11 @@
 						break;
 					}
 
-					case 'lost':
+					case 'lost': {
+						wake();
+						break;
+					}
+
 					case 'outage-ended': {
 						break;
 					}
@@ -171,6 +195,10 @@
 
 			const after = effect.kind === 'wait' ? effect.afterVersion : 0;
 			const found = changes[table].filter(change => change.version > after);
+			if (found.length > 0) {
+				wake();
+			}
+
 			if (table === 'servers') {
 				for (const change of found) {
 					handleMissing({kind: 'missing', id: String(change.version)});
@@ -205,8 +233,25 @@
 			handleWatcher(table, {kind: 'start'});
 		}
 
+		const freshness = (): Report => ({age: nowMs - contact.lastResponseToAnyVmMs, outageSinceMs: contact.outageSinceMs(nowMs), versions: TABLES.map(table => [table, watchers.get(table)!.lastChangeVersion] as const)});
+		const news = () => {
+			const {age, outageSinceMs, versions} = freshness();
+			return {storeAgeMs: age, hasFigures: outageSinceMs !== undefined, facts: versions.flat().join(' ')};
+		};
+
 		return {
-			freshness: () => ({age: nowMs - contact.lastResponseToAnyVmMs, outageSinceMs: contact.outageSinceMs(nowMs), versions: TABLES.map(table => [table, watchers.get(table)!.lastChangeVersion] as const)}),
+			freshness,
+			/** Whether the next report is due; schedules the one after it. */
+			takeDueReport(): boolean {
+				if (!plan || nowMs < pausedUntilMs || nowMs < nextReportMs) {
+					return false;
+				}
+
+				const periodMs = pace.noteReport({...news(), peers: size - 1}, plan, nowMs);
+				isResting = periodMs > plan.periodMs;
+				nextReportMs = nowMs + periodMs;
+				return true;
+			},
 			onReport({age, outageSinceMs, versions}: Report): void {
 				if (nowMs >= pausedUntilMs) {
 					handleContact({kind: 'answered-elsewhere', atMs: nowMs - age});
@@ -217,6 +262,10 @@
 					for (const [table, reported] of versions) {
 						handleWatcher(table, {kind: 'heard', version: reported});
 					}
+
+					if (isResting && outageSinceMs !== undefined && pace.isNews(news())) {
+						wake();
+					}
 				}
 			},
 			isPaused: () => nowMs < pausedUntilMs,
@@ -309,7 +358,7 @@
 
 	const reports: Array<{readonly atMs: number; readonly run: () => void}> = [];
 	const sendReports = (): void => {
-		for (const vm of vms.filter(sender => !sender.isPaused())) {
+		for (const vm of vms.filter(sender => plan ? sender.takeDueReport() : !sender.isPaused())) {
 			const report = vm.freshness();
 			const others = peersPerReport >= size ? vms : Array.from({length: peersPerReport}, () => anyVm());
 			for (const other of others.filter(receiver => receiver !== vm && !chance(LOST_REPORT_SHARE))) {
@@ -327,12 +376,12 @@
 	let departureLateMs = 0;
 	for (; nowMs < END_MS; nowMs += STEP_MS) {
 		disturb();
-		if (chance(CHANGE_CHANCE) && nowMs >= outageUntilMs) {
+		if (chance(changeChance) && nowMs >= outageUntilMs) {
 			version++;
 			changes[chance(0.5) ? 'op' : 'servers'].push({version, atMs: nowMs});
 		}
 
-		if (peersPerReport > 0 && nowMs % reportIntervalMs === 0) {
+		if (plan ?? (peersPerReport > 0 && nowMs % reportIntervalMs === 0)) {
 			sendReports();
 		}
 
--- a/test/store-watch/outages.test.ts
+++ b/test/store-watch/outages.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {planExchange} from '../../src/core/placement/exchange-plan.js';
 import {runOutageModel, type Fleet} from './_outage-model.js';
 
 type Case = {readonly title: string; readonly seeds: number; readonly fleet: Fleet};
@@ -10,9 +11,14 @@
 	leastVms: 17, mostVms: 76, contactMs: 4000, boundMs: 3000, reportIntervalMs: 400, peersPerReport: 8,
 };
 
+/** A change each 7 s on average, so that the VMs are at rest before most changes. */
+const RARE_CHANGE_CHANCE = 0.0014;
+
 const cases: readonly Case[] = [
 	{title: 'in a small fleet', seeds: 300, fleet: smallFleet},
 	{title: 'in a small fleet without reports of other VMs', seeds: 300, fleet: {...smallFleet, peersPerReport: 0}},
+	{title: 'in a small fleet that reports at the rate of its news', seeds: 120, fleet: {...smallFleet, plan: planExchange(15), changeChance: RARE_CHANGE_CHANCE}},
+	{title: 'in a large fleet that reports at the rate of its news', seeds: 160, fleet: {...largeFleet, plan: planExchange(75), changeChance: RARE_CHANGE_CHANCE}},
 	{title: 'in a large fleet, most of whose calls wait long', seeds: 240, fleet: largeFleet},
 ];
 
