Share one timer between the periodic checks of a process

Cause: the check of the event loop's delay, that for pauses of the store session and that of roll-outs without an open order had a timer each, and woke the process 10 times a second.

Change: they share one timer of 250 ms. The check for pauses comes as often as before, that of roll-outs at 250 ms in place of 400.

--- a/src/runtime/observe/loop-delay.ts
+++ b/src/runtime/observe/loop-delay.ts
@@ -6,11 +6,10 @@
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {type Clock} from '../../core/clock.js';
+import {onCommonTick, TICK_MS} from './common-tick.js';
 import {type Log} from './log.js';
 import {type Metrics} from './metrics.js';
 
-/** Milliseconds between checks. Each check wakes the process, and a stall need not be detected sooner. */
-const CHECK_MS = 250;
 /** Milliseconds between log lines. */
 const LOG_MS = 5000;
 const US_PER_MS = 1000;
@@ -47,12 +46,11 @@
 
 /** Starts the periodic checks. */
 export const startLoopDelay = ({clock, log, metrics, reportingVms, onCheck, refusedShare}: LoopDelayOptions): LoopDelay => {
-	let dueMs = clock.nowMs() + CHECK_MS;
+	let dueMs: number | undefined;
 	let lastDelayMs = 0;
 	let period = {
 		atMs: clock.nowMs(), cpuMs: cpuMs(), maxDelayMs: 0, sumMs: 0, checks: 0,
 	};
-	let timer: NodeJS.Timeout;
 
 	const logPeriod = (nowMs: number): void => {
 		const usedMs = cpuMs();
@@ -73,7 +71,7 @@
 
 	const check = (): void => {
 		const nowMs = clock.nowMs();
-		lastDelayMs = Math.max(0, nowMs - dueMs);
+		lastDelayMs = Math.max(0, nowMs - (dueMs ?? nowMs));
 		metrics.loopDelay.observe(lastDelayMs / 1000);
 		onCheck(lastDelayMs);
 		period = {
@@ -83,15 +81,12 @@
 			logPeriod(nowMs);
 		}
 
-		dueMs = nowMs + CHECK_MS;
-		timer = setTimeout(check, CHECK_MS);
+		dueMs = nowMs + TICK_MS;
 	};
 
-	timer = setTimeout(check, CHECK_MS);
+	const stop = onCommonTick(check);
 	return {
 		isLate: () => lastDelayMs > LATE_MS,
-		stop() {
-			clearTimeout(timer);
-		},
+		stop,
 	};
 };
--- a/src/runtime/rollout/rollout-task.ts
+++ b/src/runtime/rollout/rollout-task.ts
@@ -37,6 +37,8 @@
 	readonly clock: Clock;
 	/** Calls `act` after `ms` milliseconds; returns a function that cancels it. A simulation of the fleet passes a function that uses simulated time. */
 	readonly schedule: (act: () => void, ms: number) => () => void;
+	/** The same for the checks while no order is open, which may come earlier, together with other periodic work; `schedule` if absent. */
+	readonly scheduleIdle?: RolloutTaskOptions['schedule'];
 	/** Returns the wall-clock time in milliseconds. */
 	readonly wallMs: () => number;
 	readonly log: Log;
@@ -92,7 +94,7 @@
 const versionOf = ({version = ''}: TargetRecord): string => version;
 
 export const createRolloutTask = ({
-	vm, incarnation, vms, bounds, store, clock, schedule, wallMs, log, metrics, targets, isUsable, sendToPeer, onVersionSplit,
+	vm, incarnation, vms, bounds, store, clock, schedule, scheduleIdle = schedule, wallMs, log, metrics, targets, isUsable, sendToPeer, onVersionSplit,
 }: RolloutTaskOptions): RolloutTask => {
 	const participant = new RolloutParticipant(bounds);
 	const evidence = new EvidenceCounter(incarnation);
@@ -329,7 +331,7 @@
 		}
 
 		const isOpen = managed.some(service => participant.isOpen(service));
-		cancelCheck = schedule(checkAll, isOpen ? CHECK_MS : IDLE_CHECK_MS);
+		cancelCheck = isOpen ? schedule(checkAll, CHECK_MS) : scheduleIdle(checkAll, IDLE_CHECK_MS);
 	};
 
 	checkAll();
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -20,6 +20,7 @@
 import {createServerStop} from '../entry/server-stop.js';
 import {createTargetPools} from '../entry/target-pools.js';
 import {type Log} from '../observe/log.js';
+import {scheduleByTick} from '../observe/common-tick.js';
 import {cpuMs, idleMs, startLoopDelay} from '../observe/loop-delay.js';
 import {createInputAge} from '../observe/input-age.js';
 import {createTrafficReport, sizeLabel} from '../observe/traffic-report.js';
@@ -196,7 +197,7 @@
 
 	const rollout: RolloutTask | undefined = bounds.exposure && source.rollouts
 		? createRolloutTask({
-			vm, incarnation, vms, bounds: bounds.exposure, store: source.rollouts, clock, schedule: scheduleByTimer, wallMs: () => Date.now(), log, metrics, targets: view.targets,
+			vm, incarnation, vms, bounds: bounds.exposure, store: source.rollouts, clock, schedule: scheduleByTimer, scheduleIdle: scheduleByTick, wallMs: () => Date.now(), log, metrics, targets: view.targets,
 			isUsable: target => !target.isDraining && !view.isDataCentreOut(target.dataCentre),
 			sendToPeer(peer, message) {
 				exchangeRef.current?.sendRolloutMessage(peer, message);
--- a/src/runtime/store/store-session.ts
+++ b/src/runtime/store/store-session.ts
@@ -4,13 +4,14 @@
  * change that affects only what a feed leaves out, such as the sequence number of a heartbeat, does
  * not end such a call.
  */
-import {createPauseDetector, PAUSE_MS} from '../../core/pause-detector.js';
+import {createPauseDetector} from '../../core/pause-detector.js';
 import {formatVersion} from '../../core/store-watch/store-version.js';
 import {StoreContact} from '../../core/store-watch/store-contact.js';
 import {TableWatcher} from '../../core/store-watch/table-watcher.js';
 import {
 	type ContactMessage, type WatchEffect, type WatchMessage,
 } from '../../core/store-watch/types.js';
+import {onCommonTick} from '../observe/common-tick.js';
 import {createPause} from './pause.js';
 import {readTable} from './read-table.js';
 import {
@@ -19,8 +20,6 @@
 
 /** Milliseconds after a pause of the process within which the store has to return what changed; after that, the VM continues with its last known state. */
 const RESUMED_READ_TIMEOUT_MS = 1000;
-/** Milliseconds between two checks for a pause of the process. */
-const PAUSE_CHECK_MS = PAUSE_MS / 4;
 /** Milliseconds from a read that failed, or that was older than a change already known, to the next one. */
 const REREAD_PAUSE_MS = 500;
 /** What a failed probe is called in the log, in place of the table of other calls. */
@@ -60,10 +59,9 @@
 		}
 	};
 
-	const watchForPauses = async (): Promise<void> => {
-		while (!stopped.aborted) {
-			await pause(PAUSE_CHECK_MS); // eslint-disable-line no-await-in-loop
-			checkForPause();
+	const watchForPauses = (): void => {
+		if (!stopped.aborted) {
+			stopped.addEventListener('abort', onCommonTick(checkForPause));
 		}
 	};
 
@@ -267,7 +265,7 @@
 	return {
 		watch: watchTable,
 		start() {
-			void watchForPauses();
+			watchForPauses();
 		},
 		readAll,
 		readBesideWatcher,
