--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -20,6 +20,7 @@
 import {createServerStop} from '../entry/server-stop.js';
 import {createTargetPools} from '../entry/target-pools.js';
 import {type Log} from '../observe/log.js';
+import {scheduleByTick} from '../observe/common-tick.js';
 import {cpuMs, idleMs, startLoopDelay} from '../observe/loop-delay.js';
 import {createInputAge} from '../observe/input-age.js';
 import {createTrafficReport, sizeLabel} from '../observe/traffic-report.js';
@@ -198,7 +199,7 @@
 
 	const rollout: RolloutTask | undefined = bounds.exposure && source.rollouts
 		? createRolloutTask({
-			vm, incarnation, vms, bounds: bounds.exposure, store: source.rollouts, clock, schedule: scheduleByTimer, wallMs: () => Date.now(), log, metrics, targets: view.targets,
+			vm, incarnation, vms, bounds: bounds.exposure, store: source.rollouts, clock, schedule: scheduleByTimer, scheduleIdle: scheduleByTick, wallMs: () => Date.now(), log, metrics, targets: view.targets,
 			isUsable: target => !target.isDraining && !view.isDataCentreOut(target.dataCentre),
 			sendToPeer(peer, message) {
 				exchangeRef.current?.sendRolloutMessage(peer, message);
@@ -230,7 +231,13 @@
 			exchangeRef.current?.sendQuarantine(to);
 		},
 	});
-	const gate = quarantine.gate(scheduler);
+	const gate = quarantine.gate({
+		...scheduler,
+		submit(request) {
+			exchangeRef.current?.wake();
+			return scheduler.submit(request);
+		},
+	});
 	const loopDelay = startLoopDelay({
 		clock, log, metrics, reportingVms: () => loads.reportingVms,
 		onCheck(delayMs) {
@@ -344,6 +351,10 @@
 	});
 	quarantine.start();
 	source.start(update => {
+		if (update.kind !== 'targets-current') {
+			exchangeRef.current?.wake();
+		}
+
 		for (const change of view.apply(update)) {
 			if (change.kind === 'rollout-order') {
 				rollout?.onOrder(change.service, change.row);
