--- a/src/runtime/routing/serve-request.ts
+++ b/src/runtime/routing/serve-request.ts
@@ -15,7 +15,6 @@
 import {createCallerResponse, type CallerResponse} from '../entry/caller-response.js';
 import {waitForSocketReads} from '../entry/wait-for-socket-reads.js';
 import {refuseAtOnce} from '../entry/quick-refusal.js';
-import {type StartGate} from '../entry/start-gate.js';
 import {readBody} from '../entry/read-body.js';
 import {checkHeaders} from './caller-limits.js';
 import {createJob, routeRequest} from './route-request.js';
@@ -37,8 +36,6 @@
 	/** Collects the refusals that are logged as one summary. */
 	readonly refusals: RefusalSummary;
 	readonly memoryAccounts: MemoryAccounts;
-	/** Holds requests back while this VM is short of processor time. */
-	readonly startGate: StartGate;
 	/** Whether data or disconnects of callers may have arrived that this process has not read yet. */
 	readonly hasUnreadInput: () => boolean;
 };
@@ -77,11 +74,11 @@
 /** Refuses a request because this VM is overloaded, without routing it or reading its body. */
 const refuseOverloaded = (
 	{req, res, head}: {readonly req: IncomingMessage; readonly res: ServerResponse; readonly head: RoutedRequestHead},
-	{team, nowMs, refusedShare}: {readonly team: string; readonly nowMs: number; readonly refusedShare: number},
+	{team, nowMs}: {readonly team: string; readonly nowMs: number},
 	ctx: ServeContext,
 ): void => {
-	const {wire, attempts: {metrics}, refusals, random} = ctx;
-	const retryAfterMs = retryDelayMs(refusedShare, head.callerTimeoutMs, random);
+	const {wire, attempts: {metrics}, admissionControl, loadShedder, refusals, random} = ctx;
+	const retryAfterMs = retryDelayMs(admissionControl.hasBudget ? admissionControl.refusedShare() : loadShedder.refusedShare(), head.callerTimeoutMs, random);
 	metrics.refusals.inc({reason: VmOverloaded.name, not_run: 'true'});
 	refusals.add({reason: VmOverloaded.name, team, requestId: head.requestId}, nowMs);
 	refuseAtOnce(req, res, wire.overloadedResponse(head.requestId, retryAfterMs));
@@ -95,18 +92,7 @@
 	const senderTeam = view.activeConfig()?.config.teamsByKey?.get(head.key ?? '') ?? NO_TEAM;
 	const isAdmitted = admissionControl.hasBudget ? admissionControl.admit(senderTeam, arrivedMs) : loadShedder.admit(senderTeam, arrivedMs);
 	if (!isAdmitted) {
-		const refusedShare = admissionControl.hasBudget ? admissionControl.refusedShare() : loadShedder.refusedShare();
-		refuseOverloaded({req, res, head}, {team: senderTeam, nowMs: arrivedMs, refusedShare}, ctx);
-		return;
-	}
-
-	const decision = await ctx.startGate.enter({requestId: head.requestId, team: senderTeam}, res);
-	if (decision === 'refuse') {
-		// Most of the team's requests wait or are refused, so the retries are spread as far as possible.
-		refuseOverloaded({req, res, head}, {team: senderTeam, nowMs: arrivedMs, refusedShare: 1}, ctx);
-	}
-
-	if (decision !== 'begin') {
+		refuseOverloaded({req, res, head}, {team: senderTeam, nowMs: arrivedMs}, ctx);
 		return;
 	}
 
@@ -144,13 +130,10 @@
 		}
 
 		attempts.teamLimiter.requeue(job.team);
-		const ended = runAttempt(job, callerResponse, attempts);
-		ctx.startGate.leave(job.requestId);
-		await ended;
+		await runAttempt(job, callerResponse, attempts);
 	} catch (error) {
 		refuse({req, callerResponse, head}, error, ctx);
 	} finally {
-		ctx.startGate.leave(head.requestId);
 		account.set('body', 0);
 		account.set('collected', 0);
 		if (isClosed) {
--- a/src/runtime/routing/start-routing.ts
+++ b/src/runtime/routing/start-routing.ts
@@ -17,7 +17,6 @@
 import {noClaims} from '../claims/no-claims.js';
 import {type AttemptContext} from '../entry/attempt-context.js';
 import {canSharePort, listen} from '../entry/listen.js';
-import {createStartGate} from '../entry/start-gate.js';
 import {createServerStop} from '../entry/server-stop.js';
 import {createTargetPools} from '../entry/target-pools.js';
 import {type Log} from '../observe/log.js';
@@ -272,7 +271,6 @@
 			quarantine.onUnreachable(address);
 		},
 	});
-	const startGate = createStartGate(clock, loopDelay.isLate);
 	const attempts: AttemptContext = {
 		config: () => undefined,
 		scheduler: gate,
@@ -288,16 +286,16 @@
 		estimator: createCostEstimator(),
 		inputAge,
 		departure,
-		createCalls: startGate.watchCalls(createRelayCalls({
+		createCalls: createRelayCalls({
 			wire: targetWire, pool: address => pools.get(address), freshPool: pools.fresh, recentSends: createRecentSends(), clock, log, observe: scheduler.observe, onRead,
 			onTraffic(target, direction, bytes) {
 				trafficReport.noteTarget({direction, bytes, isOtherDataCentre: view.targets().get(target)?.dataCentre !== dataCentre});
 			},
 			lossWatch: scheduler.lossWatch, promptWatch: quarantine, inputAge,
-		})),
+		}),
 	};
 	const ctx: ServeContext = {
-		view, wire: callerWire, attempts, random, admissionControl, loadShedder, refusals, memoryAccounts, startGate, hasUnreadInput: loopDelay.isLate,
+		view, wire: callerWire, attempts, random, admissionControl, loadShedder, refusals, memoryAccounts, hasUnreadInput: loopDelay.isLate,
 	};
 	const servers = Array.from({length: canSharePort() ? CALLERS_LISTENERS : 1}, () => createCallersServer(options));
 	const serverStops = servers.map(server => createServerStop(server, limits.readTimeoutMs));
