--- a/src/core/admission/load-shedder.ts
+++ b/src/core/admission/load-shedder.ts
@@ -2,8 +2,8 @@
  * Decides which requests a VM refuses because its event loop lags.
  *
  * Load pattern: the load balancer spreads callers by a hash of their address, so one VM may
- * get far more than its share of the requests while others are idle. An immediate refusal lets
- * the caller retry at another VM in time.
+ * get far more than its share of the requests while others are idle. A retry reaches the same VM
+ * unless that VM has left the rotation; an immediate refusal costs less than a late response.
  *
  * The share of the requests that is refused grows while the event loop lags and then falls gradually.
  * Teams that send less than their max-min fair share of the admitted requests are not refused.
--- a/src/core/admission/retry-delay.ts
+++ b/src/core/admission/retry-delay.ts
@@ -5,7 +5,7 @@
  */
 import {MAX_RETRY_WAIT_SHARE} from './retry-wait.js';
 
-/** Least delay in milliseconds. It can be short, since a new connection usually reaches another VM, which can serve the request at once. */
+/** Least delay in milliseconds. A retry reaches the same VM unless that VM has left the rotation (docs/design/decisions-under-load.md). */
 const MIN_RETRY_MS = 50;
 /** Largest delay in milliseconds. Latency targets start at 300 ms, so with a longer delay most callers would get a late response even from an idle VM. */
 const MAX_RETRY_MS = 500;
