Revert "Write each chunk of a response to the caller in one part"

The review showed that ten events of one turn of the event loop become ten writes in place of one, just where a VM is behind.

--- a/src/runtime/entry/caller-response.ts
+++ b/src/runtime/entry/caller-response.ts
@@ -30,8 +30,8 @@
 	/** Whether this many further bytes can be written; false if more would have to be held than allowed. */
 	readonly mayTake: (bytes: number) => boolean;
 	/** Writes a chunk. Returns false when the writer should pause until `onDrain`. */
-	readonly write: (chunk: Uint8Array) => boolean;
-	readonly end: (chunk?: Uint8Array) => void;
+	readonly write: (chunk: Uint8Array | string) => boolean;
+	readonly end: (chunk?: Uint8Array | string) => void;
 	/**
 	 * Sends a refusal as the response, or as an error event in a stream that has begun. For any
 	 * other response that has begun the connection is closed, so that the response does not look complete.
@@ -46,8 +46,6 @@
 	readonly account: MemoryAccount;
 };
 
-const NO_BYTES = Buffer.alloc(0);
-
 /** Closes the connection of a response after a time limit, unless it has closed before. */
 const destroyAfter = (res: ServerResponse, limitMs: number): void => {
 	const timer = setTimeout(() => {
@@ -71,11 +69,6 @@
 	},
 });
 
-/** Returns bytes as one chunk of HTTP's chunked coding, as text of one character a byte. */
-const chunkOf = ({buffer, byteOffset, length}: Uint8Array): string => `${length.toString(16)}\r\n${Buffer.from(buffer, byteOffset, length).toString('latin1')}\r\n`;
-/** The chunk that marks the end of a chunked response. */
-const LAST_CHUNK = '0\r\n\r\n';
-
 type ResponseHead = {readonly status: number; readonly headers: Headers; readonly newForm: 'events' | 'bytes'};
 
 /** Whether only chunks can mark the end of a response: it has a body, of unknown length. */
@@ -94,8 +87,6 @@
 	/** Whether the response ends once the queue has been written. */
 	let endsAfterQueue = false;
 	let isUnread = false;
-	/** Whether the chunks of the response are marked here. Node would write each chunk in four parts, which takes twice the processor time for an event of a stream. */
-	let marksChunks = false;
 	res.once('close', () => {
 		ended = true;
 		queue = [];
@@ -115,27 +106,6 @@
 		}
 	}
 
-	const writeBytes = (bytes: Uint8Array): void => {
-		if (!marksChunks || bytes.length === 0) {
-			res.write(bytes);
-			return;
-		}
-
-		// Written at once; without this, Node defers each write to the end of the tick.
-		res.cork();
-		res.write(chunkOf(bytes), 'latin1');
-		res.uncork();
-	};
-
-	const endWith = (bytes: Uint8Array): void => {
-		const chunk = marksChunks && bytes.length > 0 ? chunkOf(bytes) : '';
-		if (marksChunks) {
-			res.end(chunk + LAST_CHUNK, 'latin1');
-		} else {
-			res.end(bytes);
-		}
-	};
-
 	/** Writes queued chunks until the connection's buffer is full; the rest is written as the caller reads. */
 	const flush = (): void => {
 		while (queueBytes > 0 && !res.writableNeedDrain && !res.destroyed) {
@@ -143,12 +113,12 @@
 			const slice = first.subarray(0, SLICE_BYTES);
 			queue = slice.length < first.length ? [first.subarray(SLICE_BYTES), ...others] : others;
 			queueBytes -= slice.length;
-			writeBytes(slice);
+			res.write(slice);
 		}
 
 		if (endsAfterQueue && queueBytes === 0) {
 			endsAfterQueue = false;
-			endWith(NO_BYTES);
+			res.end();
 		}
 	};
 
@@ -168,10 +138,6 @@
 	const writeHead = ({status, headers, newForm}: ResponseHead): void => {
 		form = newForm;
 		res.writeHead(status, {...headers, ...responseForm.headers});
-		if (res.chunkedEncoding) {
-			res.chunkedEncoding = false;
-			marksChunks = true;
-		}
 	};
 
 	/** Sends a held response, whose length is now known. */
@@ -208,12 +174,12 @@
 
 			case 'events': {
 				for (const chunk of queue) {
-					writeBytes(chunk);
+					res.write(chunk);
 				}
 
 				queue = [];
 				queueBytes = 0;
-				endWith(Buffer.from(errorEvent(err, requestId)));
+				res.end(errorEvent(err, requestId));
 				break;
 			}
 
@@ -244,33 +210,33 @@
 			}
 
 			if (heldHead) {
-				hold(chunk);
+				hold(Buffer.from(chunk));
 				return true;
 			}
 
 			if (queueBytes === 0 && chunk.length <= SLICE_BYTES) {
-				writeBytes(chunk);
+				res.write(chunk);
 			} else {
-				enqueue(chunk);
+				enqueue(Buffer.from(chunk));
 			}
 
 			recordUnread();
 			return !isUnread;
 		},
-		end(chunk = NO_BYTES) {
+		end(chunk = '') {
 			if (ended) {
 				return;
 			}
 
 			ended = true;
 			if (heldHead) {
-				hold(chunk);
+				hold(Buffer.from(chunk));
 				release(heldHead);
 			} else if (queueBytes === 0 && chunk.length <= SLICE_BYTES) {
-				endWith(chunk);
+				res.end(chunk);
 			} else {
 				endsAfterQueue = true;
-				enqueue(chunk);
+				enqueue(Buffer.from(chunk));
 			}
 
 			recordUnread();
