Look at waiting requests at a pace that bounds its share of a VM's time

Cause: while any request waited, all placements were run each 5 ms.

Change: the pause to the next look is nine times what the last one took, 5 to 40 ms, so that a VM short of processor time spends at most a tenth of its time on it; with time to spare nothing changes.

--- a/src/runtime/routing/placement-scheduler.ts
+++ b/src/runtime/routing/placement-scheduler.ts
@@ -21,14 +21,13 @@
 import {ORDINARY_PRECEDENCE} from '../../core/placement/start-limits.js';
 import {type FleetBounds, type PlacementRequest} from '../../core/placement/types.js';
 import {coldLimit} from '../../core/placement/cold-limit.js';
+import {MIN_TICK_MS, nextTickMs} from '../../core/placement/tick-pace.js';
 import {type FleetUpdate, type RoutedService, type TargetRecord} from '../../core/routing/types.js';
 import {type Log} from '../observe/log.js';
 import {type RolloutTask} from '../rollout/rollout-task.js';
 import {type FleetView} from './fleet-view.js';
 import {grantFields, rejectFields} from './placement-fields.js';
 
-/** Milliseconds between ticks of the placements while requests are queued. */
-const TICK_MS = 5;
 /** Milliseconds for which a grant is valid. */
 const GRANT_VALIDITY_MS = 1000;
 /**
@@ -176,6 +175,7 @@
 	const openGrants = new Map<string, OpenGrant>();
 	let grants = 0;
 	let timer: NodeJS.Timeout | undefined;
+	let tickPauseMs = MIN_TICK_MS;
 	/** Requests that wait for the known state of the fleet to be current. One timer checks this for all of them. */
 	const held: Waiter[] = [];
 	let heldTimer: NodeJS.Timeout | undefined;
@@ -268,9 +268,11 @@
 		if (timer === undefined && (waiters.size > 0 || hasLines())) {
 			timer = setTimeout(() => {
 				timer = undefined;
+				const startMs = clock.nowMs();
 				deliverToAll({kind: 'tick'});
+				tickPauseMs = nextTickMs(clock.nowMs() - startMs);
 				armTimer();
-			}, TICK_MS);
+			}, tickPauseMs);
 		}
 	}
 
@@ -428,7 +430,7 @@
 
 	function armHeldTimer(): void {
 		if (held.length > 0) {
-			heldTimer ??= setTimeout(deliverHeld, TICK_MS);
+			heldTimer ??= setTimeout(deliverHeld, MIN_TICK_MS);
 		}
 	}
 
