Read the state that a load report tells once

Each report computed the freshness of the store, the leaving targets and the usage of all teams twice: once to decide whether it is news, once for the report (found by the review). They are read once and passed on; what is sent is the same.

--- a/src/runtime/routing/load-exchange.ts
+++ b/src/runtime/routing/load-exchange.ts
@@ -158,7 +158,7 @@
 				onPeerMessage(datagram.vm, service, message);
 			}
 
-			if (isResting && maySpread(datagram) && pace.isNews(currentNews())) {
+			if (isResting && maySpread(datagram) && pace.isNews(newsOf(readState()))) {
 				wake();
 			}
 		} catch (error) {
@@ -205,15 +205,16 @@
 		next += plan.peersPerReport;
 	};
 
+	/** Reads the part of a report that is computed from the state of this VM. */
+	const readState = () => ({...freshness(), leaving: leavingTargets(), teamLoads: teams()});
+
 	/** Returns what a report would tell now, apart from the loads that it takes. */
-	const currentNews = (): Omit<ReportNews, 'peers'> => {
-		const {versions, storeAgeMs, outageAgeMs} = freshness();
-		const leaving = leavingTargets();
+	const newsOf = ({versions, storeAgeMs, outageAgeMs, leaving, teamLoads}: ReturnType<typeof readState>): Omit<ReportNews, 'peers'> => {
 		const announcements = rollouts?.().announcements ?? [];
 		const {ends = [], sound = [], verdicts = []} = quarantine?.() ?? {};
 		return {
 			storeAgeMs,
-			hasFigures: outageAgeMs !== undefined || leaving.length + ends.length + sound.length + verdicts.length > 0 || announcements.some(announcement => isOpenRollout(announcement)) || teams().length > 0,
+			hasFigures: outageAgeMs !== undefined || leaving.length + ends.length + sound.length + verdicts.length > 0 || announcements.some(announcement => isOpenRollout(announcement)) || teamLoads.length > 0,
 			facts: [...[...versions].flat(), ...announcements.map(announcement => factOf(announcement))].join(' '),
 		};
 	};
@@ -223,16 +224,16 @@
 		const nowMs = clock.nowMs();
 		loads.expire(nowMs, plan.validMs, plan.isFullMesh ? undefined : addresses.length);
 		const reportContents = buildContents(plan.isFullMesh);
-		const {versions, storeAgeMs, outageAgeMs} = freshness();
-		const teamLoads = teams();
-		const news = currentNews();
+		const state = readState();
+		const {versions, storeAgeMs, outageAgeMs, leaving, teamLoads} = state;
+		const news = newsOf(state);
 		const hasLoads = Object.values<readonly unknown[]>(reportContents).some(list => list.length > 0);
 		const periodMs = pace.noteReport({...news, hasFigures: news.hasFigures || hasLoads, peers: addresses.length}, plan, nowMs);
 		if (addresses.length > 0) {
 			const report = create(LoadReportSchema, {
 				storeAgeMs: Math.round(storeAgeMs),
 				...(outageAgeMs !== undefined && {outageAgeMs: Math.round(outageAgeMs)}),
-				leaving: leavingTargets().map(({target, bornMs}) => ({target, bornMs: BigInt(bornMs)})),
+				leaving: leaving.map(({target, bornMs}) => ({target, bornMs: BigInt(bornMs)})),
 				tables: [...versions].map(([table, version]) => ({table, version: BigInt(version)})),
 				incarnation, sequence: ++sequence, periodMs, ...reportContents,
 				teams: teamLoads.map(load => ({...load, use: Math.round(load.use), asked: Math.round(load.asked)})),
