--- a/review/stand-ins-2/store.js
+++ b/review/stand-ins-2/store.js
@@ -12,6 +12,8 @@
 	const rows = new Map();
 	const waiting = new Set();
 	let version = 0;
+	let era = 0;
+	let copy;
 	/** Decides whether the answer of a write is lost. */
 	let losesAnswer = () => false;
 	/** Decides, by the remote port of a call's channel, whether the call is turned away. */
@@ -34,7 +36,7 @@
 	const send = (res, status, body) => {
 		setTimeout(() => {
 			if (!res.destroyed) {
-				res.writeHead(status, {'content-type': 'application/json'}).end(JSON.stringify(body));
+				res.writeHead(status, {'content-type': 'application/json', 'store-era': String(era)}).end(JSON.stringify(body));
 			}
 		}, state.answerMs);
 	};
@@ -48,6 +50,11 @@
 	const feed = (res, query) => {
 		const table = query.get('table') ?? '';
 		const after = Number(query.get('after_revision'));
+		if (after > version) {
+			send(res, 410, {});
+			return;
+		}
+
 		const finish = () => {
 			waiting.delete(wake);
 			clearTimeout(timer);
@@ -137,6 +144,20 @@
 			write(table, key, undefined);
 		},
 		rowsOf: table => changed(table, -1).filter(({value}) => value !== undefined).map(({key, value}) => [key, Buffer.from(value, 'base64').toString()]),
+		keepCopy() {
+			copy = {rows: new Map(rows), version};
+		},
+		/** Goes back to the copy; channels are closed, as by the store's restart. */
+		restoreCopy() {
+			era++;
+			version = copy.version;
+			rows.clear();
+			for (const [key, row] of copy.rows) {
+				rows.set(key, row);
+			}
+
+			server.closeAllConnections();
+		},
 		setAnswerMs(ms) {
 			state.answerMs = ms;
 		},
