--- a/review/10/case.js
+++ b/review/10/case.js
@@ -1,5 +1,5 @@
 /* eslint-disable camelcase -- the users' protocol and settings write names this way */
-/** The store comes back from a copy that is older than the entry in which a worker says that it is cold. */
+/** All processes of the system are killed and restarted while the store is down. When the store is back, a worker that was just added is cold. */
 import {setTimeout as delay} from 'node:timers/promises';
 import {createCaller, promptHeaders} from '../stand-ins-2/caller.js';
 import {
@@ -13,13 +13,12 @@
 const COLD_MS = 3000;
 const COLD_PER_S = 10;
 const LIMIT = (COLD_PER_S * BOUNDS.cold_factor) + BOUNDS.cold_slack;
-const PER_S = 120;
+const PER_S = 100;
 const WARM_UP_MS = 3000;
-/** Milliseconds from the copy, and from the store's absence, to the worker's cold entry, and length of the absence. */
-const COPY_BEFORE_MS = 2000;
-const AWAY_AFTER_MS = 100;
-const AWAY_MS = 400;
-const HEARTBEAT_MS = 1200;
+/** Milliseconds for which the store turns all calls away, from then to the kill, and from the kill to the restart. */
+const STORE_DOWN_MS = 4500;
+const KILL_AFTER_MS = 3600;
+const DOWN_MS = 500;
 const AFTER_MS = 4000;
 
 await runCase('review/10/record.txt', async ({record, folder, isTrouble, atEnd}) => {
@@ -40,7 +39,7 @@
 	const tariff = {
 		service: 'tariff', events: 20, gapMs: 20, onArrival,
 	};
-	const workers = await Promise.all(ZONES.map(async zone => startWorker({...tariff, id: `i-tariff-${zone}`, zone})));
+	const workers = await Promise.all([ZONES[0], ZONES[2]].map(async zone => startWorker({...tariff, id: `i-tariff-${zone}`, zone})));
 	atEnd(() => workers.map(worker => worker.close()));
 	store.put('op', 'config', configOf(7));
 	for (const worker of workers) {
@@ -82,36 +81,34 @@
 	});
 
 	await delay(WARM_UP_MS);
-	store.keepCopy();
-	record.note('state of the copy');
-	await delay(COPY_BEFORE_MS);
-	const cold = workers.find(({zone}) => zone === ZONES[1]);
-	const coldMs = performance.now();
-	coldFrom.set(cold.id, coldMs);
-	const writeEntry = () => {
-		const leftMs = Math.max(0, Math.round(coldMs + COLD_MS - performance.now()));
-		store.put('servers', cold.id, cold.entry({cold_remaining_ms: leftMs}));
-		record.note(`${cold.id} writes that it is cold for ${leftMs} ms`);
-	};
-
-	writeEntry();
-	const heartbeats = setInterval(writeEntry, HEARTBEAT_MS);
-	atEnd(() => {
-		clearInterval(heartbeats);
-	});
-	await delay(AWAY_AFTER_MS);
+	const added = await startWorker({...tariff, id: 'i-tariff-new', zone: ZONES[1]});
+	atEnd(added.close);
 	if (isTrouble) {
 		store.setRefuses(() => true);
-		record.note('store away');
-		await delay(AWAY_MS);
-		store.restoreCopy();
-		store.setRefuses(() => false);
-		record.note('store back from the copy, with a new era');
+		record.note('store down: it answers all calls with 503');
+	}
+
+	await delay(KILL_AFTER_MS);
+	if (isTrouble) {
+		await Promise.all(routers.map(async router => router.end()));
+		record.note('all routers killed');
+		await delay(DOWN_MS);
+		for (const router of routers) {
+			router.start();
+		}
+
+		record.note('all routers started');
 	}
 
+	await delay(STORE_DOWN_MS - KILL_AFTER_MS - (isTrouble ? DOWN_MS : 0));
+	store.setRefuses(() => false);
+	record.note('store up');
+	coldFrom.set(added.id, performance.now());
+	store.put('servers', added.id, added.entry({cold_remaining_ms: COLD_MS}));
+	record.note(`${added.id} registers, cold for ${COLD_MS} ms`);
 	await delay(AFTER_MS);
-	const most = mostInWindow(coldRuns.get(cold.id) ?? [], 1000);
-	const text = `${cold.id}: ${most} requests in one second while cold; the rule allows ${LIMIT}`;
+	const most = mostInWindow(coldRuns.get(added.id) ?? [], 1000);
+	const text = `${added.id}: ${most} requests in one second while cold; the rule allows ${LIMIT}`;
 	record.note(text);
 	process.stdout.write(`${text}\n${ends.length} requests ended, ${ends.filter(({status}) => status === 200).length} with 200\n`);
 	return most > LIMIT;
--- a/review/15/run.mjs
+++ b/review/7/removed.mjs
@@ -10,7 +10,7 @@
 
 const ZONES = ['colombo-a', 'colombo-b', 'negombo-c'];
 /** Machines that were replaced since the system first started. */
-const REPLACED = Number(process.env.REPLACED ?? 120);
+const REPLACED = Number(process.env.REPLACED ?? 240);
 const WORKERS = 4;
 const WORK_MS = 86;
 const DRAIN_MS = 2000;
@@ -20,7 +20,7 @@
 /** Milliseconds between two debits at each router: 15 a second at all three together, as in the sheet, and more at the moment of the bound. */
 const PERIOD_MS = 40;
 
-const record = createRecord(import.meta.url);
+const record = createRecord(import.meta.url, 'record-removed.txt');
 const note = text => {
 	record.note(text);
 };
--- a/review/12/run.mjs
+++ b/review/7/run.mjs
@@ -11,7 +11,7 @@
 
 const ZONES = ['colombo-a', 'colombo-b', 'negombo-c'];
 /** Machines that were replaced since the system first started. */
-const REPLACED = Number(process.env.REPLACED ?? 120);
+const REPLACED = Number(process.env.REPLACED ?? 240);
 /** Whether only the open channels to the store go silent; else the store gives no answer for a time. */
 const onlyChannels = process.env.KIND === 'channels';
 const OUTAGE_MS = 5000;
--- a/review/stand-ins-3/clock.mjs
+++ b/review/stand-ins-3/clock.mjs
@@ -23,8 +23,8 @@
 	}
 };
 
-/** Collects the lines of `record.txt` with the seconds since the start. */
-export const createRecord = folder => {
+/** Collects the lines of a record beside the script, with the seconds since the start. */
+export const createRecord = (script, name = 'record.txt') => {
 	const startMs = Date.now();
 	const lines = [];
 	return {
@@ -36,7 +36,7 @@
 			console.log(lines.at(-1));
 		},
 		write() {
-			writeFileSync(new URL('record.txt', folder), `${lines.join('\n')}\n`);
+			writeFileSync(new URL(name, script), `${lines.join('\n')}\n`);
 		},
 	};
 };
